--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,138 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"time"
+
+	"eiderrock/policy"
+)
+
+// ms reads a time in milliseconds; it stays at its default where a key is absent.
+type ms struct {
+	value time.Duration
+	given bool
+}
+
+func (m *ms) UnmarshalJSON(text []byte) error {
+	if string(text) == "null" {
+		return nil
+	}
+	var v float64
+	if err := json.Unmarshal(text, &v); err != nil {
+		return err
+	}
+	d, ok := duration(v)
+	if !ok {
+		return fmt.Errorf("time %v is too long", v)
+	}
+	m.value, m.given = d, true
+	return nil
+}
+
+func (m ms) or(d time.Duration) time.Duration {
+	if m.given {
+		return m.value
+	}
+	return d
+}
+
+type settingsJSON struct {
+	Accounts  []struct{ QuotaPerS float64 }
+	Balancers *int
+	Classes   []struct {
+		DeadlineMs, PromiseMs, KeyTtlMs ms
+		AimStretch, LateWorth           float64
+		Importance                      *float64
+		Effect, DedupScope              string
+		Streaming                       bool
+	}
+	Contract struct {
+		ColdFrom, FallMultiple      *float64
+		ColdMs, FallMs, MustAskInMs ms
+	}
+	CountedBy  string
+	Deductions struct{ Waste, LateFail float64 }
+	Extra      struct{ WarmKeys bool }
+	Limits     struct {
+		Cancel, RetryAfter, SecondCopies bool
+		MaxAttempts                      *int
+		MaxRetryAfterMs                  ms
+	}
+	Locality       int
+	OverShareWorth *float64
+	RegistryMode   string
+}
+
+// set replaces a default by what was given.
+func set[T any](to *T, given *T) {
+	if given != nil {
+		*to = *given
+	}
+}
+
+// ParseSettings reads an instance's settings. Unknown keys are skipped and
+// absent ones keep policy.Defaults; a class without an effect counts as unsafe.
+func ParseSettings(text []byte) (policy.Settings, error) {
+	s := policy.Defaults()
+	var j settingsJSON
+	if err := json.Unmarshal(text, &j); err != nil {
+		return s, fmt.Errorf("settings: %w", err)
+	}
+	set(&s.Nodes, j.Balancers)
+	set(&s.OverShareWorth, j.OverShareWorth)
+	set(&s.Limits.MaxAttempts, j.Limits.MaxAttempts)
+	set(&s.Rules.ColdFrom, j.Contract.ColdFrom)
+	set(&s.Rules.FallMultiple, j.Contract.FallMultiple)
+	s.Prices = policy.Prices{Waste: j.Deductions.Waste, LateFail: j.Deductions.LateFail}
+	s.Zone = j.Locality
+	s.WarmKeys = j.Extra.WarmKeys
+	s.WorthByWork = j.CountedBy == "work"
+	s.Limits.Cancel, s.Limits.SecondCopies = j.Limits.Cancel, j.Limits.SecondCopies
+	if j.Limits.RetryAfter {
+		s.Limits.MaxRetryAfter = j.Limits.MaxRetryAfterMs.or(0)
+	}
+	s.Rules.ColdFor = j.Contract.ColdMs.or(s.Rules.ColdFor)
+	s.Rules.FallFor = j.Contract.FallMs.or(s.Rules.FallFor)
+	s.Rules.MustAsk = j.Contract.MustAskInMs.or(s.Rules.MustAsk)
+	var ok bool
+	if s.ListAsked, ok = word(j.RegistryMode, map[string]bool{"": false, "pushed": false, "on_request": true}); !ok {
+		return s, fmt.Errorf("settings: RegistryMode: unknown word %q", j.RegistryMode)
+	}
+	for i, c := range j.Classes {
+		p := policy.Class{
+			Deadline: c.DeadlineMs.or(0), Aim: c.PromiseMs.or(c.DeadlineMs.or(0)), AimStretch: c.AimStretch,
+			LateWorth: c.LateWorth, Worth: 1, Window: c.KeyTtlMs.or(0), Stream: c.Streaming,
+		}
+		set(&p.Worth, c.Importance)
+		if p.Effect, ok = word(c.Effect, effects); !ok {
+			return s, fmt.Errorf("settings: Classes[%d].Effect: unknown word %q", i, c.Effect)
+		}
+		if p.Scope, ok = word(c.DedupScope, scopes); !ok {
+			return s, fmt.Errorf("settings: Classes[%d].DedupScope: unknown word %q", i, c.DedupScope)
+		}
+		s.Classes = append(s.Classes, p)
+	}
+	for _, t := range j.Accounts {
+		s.Tenants = append(s.Tenants, policy.Tenant{QuotaPerS: t.QuotaPerS})
+	}
+	if math.IsNaN(s.OverShareWorth) {
+		return s, fmt.Errorf("settings: OverShareWorth: not a number")
+	}
+	return s, nil
+}
+
+var effects = map[string]policy.Effect{
+	"pure": policy.Safe, "token": policy.Keyed, "side_effect": policy.Unsafe, "": policy.Unsafe,
+}
+
+// An absent scope is the narrowest.
+var scopes = map[string]policy.Scope{
+	"all": policy.ScopeAll, "zone": policy.ScopeZone, "cell": policy.ScopeCell, "": policy.ScopeCell,
+}
+
+func word[T any](w string, words map[string]T) (T, bool) {
+	v, ok := words[w]
+	return v, ok
+}
--- /dev/null
+++ b/policy/invariants_test.go
@@ -0,0 +1,232 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+)
+
+// world plays a random script against one Balancer and checks the rules on each
+// action: one final answer in time, no effect twice, no send after a notice, no
+// attempt too many.
+type world struct {
+	*fakeHost
+	t        *testing.T
+	rng      *rand.Rand
+	b        *Balancer
+	now      time.Duration
+	open     map[RequestID]*played
+	answered map[RequestID]int
+	state    map[ServerID]Entry
+}
+
+type played struct {
+	class    Class
+	end      time.Duration
+	attempts []*playedAttempt
+	done     bool
+}
+
+type playedAttempt struct {
+	server   Entry
+	sent     time.Duration
+	out      bool
+	neverRan bool
+}
+
+func (w *world) Send(id RequestID, server ServerID, timeout time.Duration) {
+	w.fakeHost.Send(id, server, timeout)
+	p, s := w.open[id], w.state[server]
+	switch {
+	case p == nil || p.done:
+		w.t.Errorf("%v: sent request %d, which is finished", w.now, id)
+		return
+	case s.State != Ready:
+		w.t.Errorf("%v: sent request %d to server %d in state %d", w.now, id, server, s.State)
+	case len(p.attempts) >= 4:
+		w.t.Errorf("%v: request %d has too many attempts", w.now, id)
+	}
+	for _, a := range p.attempts {
+		if a.neverRan {
+			continue
+		}
+		if p.class.Effect == Unsafe {
+			w.t.Errorf("%v: unsafe request %d sent again though it may have run", w.now, id)
+		}
+		if p.class.Effect == Keyed && (a.server.Cell != s.Cell || w.now-a.sent >= p.class.Window) {
+			w.t.Errorf("%v: keyed request %d repeated out of its group or window", w.now, id)
+		}
+	}
+	p.attempts = append(p.attempts, &playedAttempt{server: s, sent: w.now, out: true})
+}
+
+func (w *world) answer(id RequestID) *played {
+	w.answered[id]++
+	p := w.open[id]
+	if p == nil || p.done {
+		w.t.Errorf("%v: request %d answered twice", w.now, id)
+		return &played{}
+	}
+	if w.now > p.end+20*ms {
+		w.t.Errorf("%v: request %d answered after its end at %v", w.now, id, p.end)
+	}
+	p.done = true
+	return p
+}
+
+func (w *world) Refuse(id RequestID, after time.Duration) {
+	w.fakeHost.Refuse(id, after)
+	p := w.answer(id)
+	for _, a := range p.attempts {
+		if !a.neverRan && p.class.Effect != Safe {
+			w.t.Errorf("%v: request %d refused though it may have run", w.now, id)
+		}
+	}
+}
+
+func (w *world) Fail(id RequestID) {
+	w.fakeHost.Fail(id)
+	w.answer(id)
+}
+
+// outcome ends attempt i of a request with a random status, or by its deadline.
+func (w *world) outcome(id RequestID, p *played, i int) {
+	a := p.attempts[i]
+	status := []Status{OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset}[w.rng.IntN(8)]
+	if w.now >= p.end {
+		status = Timeout
+	}
+	if p.done {
+		status = Cancelled
+	}
+	a.out = false
+	a.neverRan = status == Full || status == ConnectFailed
+	if status == OK {
+		w.answer(id)
+	}
+	w.b.Outcome(w.now, Outcome{ID: id, Attempt: i, Server: a.server.Server, Status: status,
+		Latency: w.now - a.sent, Ended: p.done})
+}
+
+func (w *world) step(ids []RequestID) {
+	for _, id := range ids {
+		p := w.open[id]
+		for i, a := range p.attempts {
+			if a.out && (w.now >= p.end || p.done || w.rng.IntN(12) == 0) {
+				w.outcome(id, p, i)
+			}
+		}
+		if !p.done && w.rng.IntN(400) == 0 {
+			p.done = true
+			w.answered[id]++
+			w.b.Left(w.now, id)
+		}
+	}
+	var due []timer
+	kept := w.timers[:0]
+	for _, t := range w.timers {
+		if t.at <= w.now {
+			due = append(due, t)
+		} else {
+			kept = append(kept, t)
+		}
+	}
+	w.timers = kept
+	for _, t := range due {
+		w.b.Timer(w.now, t.token)
+	}
+}
+
+// change drains, removes, restarts or adds a server.
+func (w *world) change(start time.Duration) {
+	id := ServerID(1 + w.rng.IntN(12))
+	e := Entry{Server: id, Cell: int(id) / 3, Weight: 1, State: State(w.rng.IntN(3))}
+	if w.rng.IntN(3) == 0 {
+		e.State, e.Started = Ready, start
+	}
+	w.state[id] = e
+	w.b.Members(w.now, ListDelta, []Entry{e})
+}
+
+func playScript(t *testing.T, seed uint64) []string {
+	set := testSettings()
+	set.Classes[0].LateWorth = 0.5
+	set.Tenants = []Tenant{{QuotaPerS: 50}}
+	w := &world{fakeHost: newHost(), t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour,
+		open: map[RequestID]*played{}, answered: map[RequestID]int{}, state: map[ServerID]Entry{}}
+	b, err := New(set, seed, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.b = b
+	entries := ready(1, 8)
+	for i := range entries {
+		entries[i].Cell = int(entries[i].Server) / 3
+		w.state[entries[i].Server] = entries[i]
+	}
+	b.Members(w.now, ListCached, entries)
+	var ids []RequestID
+	for step := range 4000 {
+		w.now += 5 * ms
+		for range w.rng.IntN(4) {
+			if step >= 3500 {
+				break // let it run dry
+			}
+			id := RequestID(len(ids) + 1)
+			class := w.rng.IntN(3)
+			left := time.Duration(300+w.rng.IntN(1700)) * ms
+			ids = append(ids, id)
+			w.open[id] = &played{class: set.Classes[class], end: w.now + left}
+			b.Request(w.now, Request{ID: id, Class: class, Key: uint64(w.rng.IntN(50)), Left: left})
+		}
+		if w.rng.IntN(60) == 0 {
+			w.change(w.now)
+		}
+		w.step(ids)
+	}
+	for _, id := range ids {
+		if w.answered[id] != 1 {
+			t.Errorf("request %d got %d final answers", id, w.answered[id])
+		}
+	}
+	if len(b.requests) > 0 || len(b.open) > 0 {
+		t.Errorf("%d requests and %d open ones remembered at the end", len(b.requests), len(b.open))
+	}
+	return w.log
+}
+
+func TestRulesHoldUnderRandomEvents(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playScript(t, seed) })
+	}
+}
+
+func TestSameEventsAndSeedGiveTheSameActions(t *testing.T) {
+	one, two := playScript(t, 3), playScript(t, 3)
+	if a, b := strings.Join(one, "\n"), strings.Join(two, "\n"); a != b {
+		t.Fatal("two runs of the same script differ")
+	}
+}
+
+func TestInterleavedInstancesActAsEachAlone(t *testing.T) {
+	drive := func(rigs ...*rig) {
+		for i := range 300 {
+			for _, r := range rigs {
+				id := r.request(i % 3)
+				r.pass(7 * ms)
+				if n := len(r.sendsOf(id)); n > r.done[id] {
+					r.end(id, OK, 7*ms)
+				}
+			}
+		}
+	}
+	alone, a, b := newRig(t, testSettings(), 5), newRig(t, testSettings(), 5), newRig(t, testSettings(), 5)
+	drive(alone)
+	drive(a, b)
+	want := strings.Join(alone.h.log, "\n")
+	if strings.Join(a.h.log, "\n") != want || strings.Join(b.h.log, "\n") != want {
+		t.Fatal("instances that take turns act unlike one alone")
+	}
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,587 @@
+package policy
+
+// All decisions are made in this file. Their interface (settings, events and actions) is
+// in api.go, what is remembered in state.go, the checks of the settings in settings.go.
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// The figures of the mechanism.
+const (
+	outcomesKept   = 100              // outcomes a server is judged by
+	outcomesFor    = 10 * time.Second // and for how long: an avoided server is forgotten, then met again
+	priorOutcomes  = 3.0              // weight of the fleet's mean beside a server's own outcomes
+	successPart    = 0.7              // of the score
+	latencyPart    = 0.3              // of the score
+	nearTie        = 0.1              // scores this close go by own requests in flight
+	failuresToOpen = 5                // consecutive failures that open a breaker
+	failuresFor    = 60 * time.Second // and the window that they must fall in
+	openFirst      = 2 * time.Second  // an open breaker turns half-open after this,
+	openMost       = 30 * time.Second // doubled with each failed trial up to this
+	backoffPart    = 1.0 / 16         // first retry delay as a share of the class's aim; doubles
+	silentAfter    = 4.0              // times the expected latency: an unanswered attempt counts as a failure
+	copyAfter      = 2.0              // times the expected latency: a second copy may go out
+	copyBudget     = 0.1              // second copies a request, and retries of a thin node
+	copyBurst      = 10.0             // saved up at most
+	crowdingAim    = 0.3              // log of latency over a lone request's that the bound steers to
+	limitUp        = 0.025            // growth of the bound in a typical latency, while requests wait for it
+	startFaster    = 6.0              // times that until servers were crowded for the first time
+	loneNeeded     = 60               // lone latencies before the bound may grow
+	loneSettled    = 12               // lone latencies of a class before its mean serves as a yardstick
+	limitDown      = 0.1              // its shrinking in a typical latency for each unit of excess
+	limitFor       = 60.0             // seconds over which a bound that was known to be good is forgotten
+	pressureAim    = 0.5              // of the stretched aim: the latency that thin nodes steer to
+	pressureOver   = 16               // answers that it is taken over,
+	pressureFor    = 2.0              // and seconds: few answers weigh more each
+	shedRate       = 2.0              // fall of the admitted share a second, for each unit of excess
+	admitRate      = 0.5              // and its growth, for each unit of slack
+	admitLeast     = 0.05             // stays admitted to see a recovery, yet lets choked servers rest
+	coldSafety     = 0.75             // of the multiple that pushes cold servers over; thin: twice
+	sweepEvery     = 10 * time.Millisecond
+	watchAgain     = 500 * time.Millisecond
+	attemptsMost   = 16 // whatever the settings allow
+)
+
+// ---- the list of servers
+
+// Members follows the server list. Where it must be asked for, it is watched from
+// the start, and again after each failure, with growing delays.
+func (b *Balancer) Members(now time.Duration, kind ListKind, entries []Entry) {
+	if kind == ListFailed {
+		b.host.SetTimer(now+b.jitter(b.watchDelay), tokenWatch)
+		b.watchDelay = min(2*b.watchDelay, b.set.Rules.MustAsk/4+watchAgain)
+		return
+	}
+	b.watchDelay = watchAgain
+	if kind == ListCached && b.set.ListAsked {
+		b.host.WatchList()
+	}
+	b.list(kind, entries)
+	b.refreshed = -1
+	b.dispatch(now)
+}
+
+// coldShare is the share of its capacity that a server has at least.
+func (b *Balancer) coldShare(s *server, now time.Duration) float64 {
+	age := max(0, now-s.Started)
+	if s.Started <= 0 || age >= b.set.Rules.ColdFor {
+		return 1
+	}
+	from := b.set.Rules.ColdFrom
+	return from + (1-from)*age.Seconds()/b.set.Rules.ColdFor.Seconds()
+}
+
+// coldBudget tells whether a cold server can bear this work too. This node
+// cannot see the others, so it keeps to its own part: what a warm server of this
+// size gets from it, scaled by the cold share and the multiple that makes a server
+// fall over. A warm server's part is the smaller of what warm peers are sent and of
+// an equal split of all that is asked for (while most of the fleet restarts). The
+// part is saved up, from a random start, until a request is covered whole: hundreds
+// of nodes that each sent just one at once would push the server over.
+func (b *Balancer) coldBudget(s *server, now time.Duration, work float64) bool {
+	share := b.coldShare(s, now)
+	if share >= 1 {
+		return true
+	}
+	part := b.demand.perSecond(now) / float64(len(b.ready))
+	if b.thin() { // twice, as whole requests run it dry by chance; the draw by cold share keeps the mean
+		part = 2 * b.demand.perSecond(now) * b.admitted / max(b.shares, share, 1e-9)
+	} else if b.warm > 0 {
+		part = min(part, b.warmRate/float64(b.warm))
+	}
+	if b.weight > 0 && s.Weight > 0 {
+		part *= s.Weight / b.weight
+	}
+	if s.coldAt == 0 {
+		s.coldAt, s.coldSaved = now, s.rounding*work
+	}
+	rate := part * b.set.Rules.FallMultiple * share * coldSafety
+	most := max(6*work, rate*b.set.Rules.FallFor.Seconds())
+	s.coldSaved = min(s.coldSaved+rate*(now-s.coldAt).Seconds(), most)
+	s.coldAt = now
+	return s.coldSaved >= work
+}
+
+// ---- health
+
+// refresh updates the scores: 0.7 x success + 0.3 x (1 - latency / the highest). Servers without
+// outcomes stand at the mean. An attempt in flight counts by its age: silence lowers the score early.
+func (b *Balancer) refresh(now time.Duration) {
+	if b.refreshed == now {
+		return
+	}
+	b.refreshed = now
+	b.tally(now)
+	b.usable = 0
+	highest := 0.0
+	for _, s := range b.ready {
+		s.success = (float64(s.good) + priorOutcomes*b.meanSuccess) / (float64(s.kept) + priorOutcomes)
+		s.latency = (s.latencySum + priorOutcomes*b.meanLatency) / (float64(s.good) + priorOutcomes)
+		if len(s.out) > 0 {
+			oldest := s.out[0]
+			age := (now - oldest.sent).Seconds() / b.loneLatency(oldest.request)
+			s.latency = max(s.latency, age)
+		}
+		if s.breaker == open && now >= s.reopenAt {
+			s.breaker, s.trial = halfOpen, nil
+		}
+		if s.breaker == closed {
+			highest = max(highest, s.latency)
+			b.usable++
+		} else if s.breaker == halfOpen && s.trial == nil {
+			b.usable++
+		}
+	}
+	for _, s := range b.ready {
+		s.score = successPart*s.success + latencyPart*(1-s.latency/max(highest, s.latency, 1e-9))
+	}
+}
+
+// failed counts a failure towards opening the breaker. One that may be slowness alone opens it
+// only while fewer than half of the servers are out: when all are slow, that would refuse all.
+func (b *Balancer) failed(now time.Duration, a *attempt, slowness bool) {
+	s := a.server
+	s.failures = append(s.failures, now)
+	for now-s.failures[0] > failuresFor {
+		s.failures = s.failures[1:]
+	}
+	switch {
+	case s.breaker == halfOpen && s.trial == a:
+		s.openFor = min(2*s.openFor, openMost)
+	case s.breaker != closed || len(s.failures) < failuresToOpen:
+		return
+	case slowness && 2*(b.notClosed()+1) > len(b.ready):
+		return
+	}
+	s.breaker, s.trial = open, nil
+	s.reopenAt = now + b.jitter(s.openFor)
+}
+
+// succeeded closes the breaker. An answer to an older attempt lets an open one's trial come at once.
+func (s *server) succeeded(now time.Duration, a *attempt) {
+	s.failures = s.failures[:0]
+	s.answeredAt = now
+	switch {
+	case s.breaker == halfOpen && s.trial == a:
+		s.breaker, s.trial, s.openFor = closed, nil, openFirst
+	case s.breaker == open:
+		s.reopenAt = now
+	}
+}
+
+// steer moves the node's bound on own requests in flight. What a server can hold before
+// it gets less done is told nowhere, but crowding shows: requests take longer than lone
+// ones do there. The bound starts low, grows while requests wait for it and servers are
+// not crowded, and shrinks when they are; but not much below what was good lately, since
+// a fleet that is slow as a whole looks the same.
+func (b *Balancer) steer(now time.Duration) {
+	seconds := min((now - b.steered).Seconds(), 0.1)
+	rounds := seconds / b.typical // answers come back once a round; faster steps would swing
+	b.steered = now
+	excess := b.crowding - crowdingAim
+	switch {
+	case excess > 0 && !b.crowded: // the start's fast growth went too far
+		b.crowded, b.limit, b.limitKnown = true, 0.6*b.limit, 0.6*b.limit
+	case excess > 0:
+		least := max(1/float64(b.set.Nodes), 0.9*b.limitKnown)
+		b.limit = max(least, b.limit*(1-limitDown*min(excess, 0.2)*rounds))
+		b.limitKnown *= 1 - seconds/limitFor
+	case len(b.held) > 0 && b.loneSeen >= loneNeeded:
+		if !b.crowded {
+			rounds *= startFaster
+		}
+		b.limit *= 1 + limitUp*rounds
+		b.limitKnown = max(b.limitKnown, b.limit)
+	}
+}
+
+// ---- the pick
+
+// maySend is the one gate for every attempt. It keeps the rules: nothing after the end, no attempt
+// too many, nothing to a server that drains or is gone, no effect twice, no cold server pushed over.
+func (b *Balancer) maySend(now time.Duration, r *request, s *server) bool {
+	if r.done || r.stream || now >= r.end || len(r.attempts) >= b.set.Limits.MaxAttempts || s.State != Ready {
+		return false
+	}
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		switch {
+		case a.neverRan:
+			continue
+		case a.out && !b.set.Limits.SecondCopies, r.class.Effect == Unsafe:
+			return false
+		case r.class.Effect == Keyed && (now-a.sent >= r.class.Window || !r.class.sameGroup(a, s)):
+			return false
+		}
+	}
+	return b.coldBudget(s, now, b.loneLatency(r))
+}
+
+// mayRefuse tells whether the promise of a refusal holds.
+func (r *request) mayRefuse() bool {
+	for i := range r.attempts {
+		if !r.attempts[i].neverRan {
+			return r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Scope == ScopeAll)
+		}
+	}
+	return true
+}
+
+// room tells whether a server is below the bound on own requests in flight. A server's own part of
+// a whole decides the rounding, so that a limit of 1.4 is 2 at two servers of five.
+func (b *Balancer) room(s *server, now time.Duration) bool {
+	bound := max(1, math.Floor(b.limit+s.rounding)*b.coldShare(s, now))
+	return now >= s.fullUntil && (b.thin() || float64(len(s.out)+1) <= bound)
+}
+
+// thin tells that nodes outnumber servers: a fair bound in flight would be below one
+// request a server here, too coarse to steer by, and one stuck attempt would use it up.
+func (b *Balancer) thin() bool { return b.set.Nodes > len(b.ready) }
+
+// admit is the load shedding of a thin node: it steers the share of its requests that
+// go out so that answers take about half of their aim, and refuses the rest at once.
+// What lies beyond a tenant's share goes first.
+func (b *Balancer) admit(now time.Duration, over bool) bool {
+	b.adjust(now)
+	if b.overPart -= b.overPart / 64; over {
+		b.overPart += 1.0 / 64
+		return b.rng.Float64()*b.overPart < b.admitted-(1-b.overPart)
+	}
+	return b.rng.Float64()*(1-b.overPart) < b.admitted
+}
+
+// press takes an outcome into the pressure: its latency as a share of the aim, or the whole if it was
+// late, turned away or timed out. More for a time-out kept the share of a node with few answers low.
+func (b *Balancer) press(now time.Duration, r *request, o Outcome) {
+	ratio := o.Latency.Seconds() / (r.class.Aim.Seconds() * r.class.stretch)
+	if o.Status == Full || o.Status == Timeout {
+		ratio = max(ratio, 1)
+	}
+	b.adjust(now)
+	since := (now - b.pressedAt).Seconds() / pressureFor
+	b.pressedAt = now
+	b.pressure += (min(ratio, 1) - b.pressure) * min(max(since, 1.0/pressureOver), 4.0/pressureOver)
+}
+
+// stretch lengthens the aim in the pressure by a late answer's worth less the prices of such work.
+func (b *Balancer) stretch(c *Class) float64 {
+	return 1 + max(0, c.LateWorth-b.set.Prices.Waste-b.set.Prices.LateFail)
+}
+
+// adjust moves the admitted share: down in proportion to itself, up evenly.
+func (b *Balancer) adjust(now time.Duration) {
+	seconds := min((now - b.steered).Seconds(), 0.5)
+	b.steered = now
+	if excess := b.pressure/pressureAim - 1; excess > 0 {
+		b.admitted *= 1 - shedRate*min(excess, 1)*seconds
+	} else {
+		b.admitted -= admitRate * excess * seconds
+	}
+	b.admitted = min(max(b.admitted, admitLeast), 1)
+}
+
+// pick chooses a server for the next attempt, or nil: a half-open server that awaits its
+// trial, else the better of two random closed servers for a first send and the best other
+// closed server for a further one. A thin node draws by weight: it has too little in flight
+// to see small servers crowd. Where servers keep keys warm, the one that served the key last
+// is one of the two.
+func (b *Balancer) pick(now time.Duration, r *request) *server {
+	b.refresh(now)
+	b.choices = b.choices[:0]
+	out, servers := 0, 0
+	for _, s := range b.ready {
+		if s.breaker == closed {
+			out += len(s.out)
+			servers++
+		}
+		if s.breaker == open || r.tried(s) || !b.maySend(now, r, s) {
+			continue
+		}
+		if s.breaker == closed && b.room(s, now) {
+			b.choices = append(b.choices, s)
+		} else if s.breaker == halfOpen && s.trial == nil && (r.class.Effect != Unsafe || b.allUnsafe) {
+			return s
+		}
+	}
+	n := len(b.choices)
+	if n == 0 || !b.thin() && out >= max(1, int(b.limit*float64(servers))) {
+		return nil
+	}
+	if len(r.attempts) == 0 && n > 2 {
+		i := b.rng.IntN(n)
+		j := (i + 1 + b.rng.IntN(n-1)) % n
+		if b.thin() {
+			i = b.draw(-1)
+			j = b.draw(i)
+		}
+		if warm := slices.Index(b.choices, b.keys[r.Key]); b.set.WarmKeys && r.Key != 0 && warm >= 0 {
+			i, j = warm, i // and wins where all is equal
+		}
+		return better(b.choices[i], b.choices[j])
+	}
+	best := b.choices[0]
+	for _, s := range b.choices[1:] {
+		best = better(best, s)
+	}
+	return best
+}
+
+// better compares by score; near-ties go to fewer own requests in flight, equal ones to the own zone.
+func better(x, y *server) *server {
+	switch {
+	case x.score > y.score+nearTie:
+		return x
+	case y.score > x.score+nearTie || len(y.out) < len(x.out):
+		return y
+	case len(y.out) == len(x.out) && y.near && !x.near:
+		return y
+	}
+	return x
+}
+
+// send starts an attempt; pick has asked the gate.
+func (b *Balancer) send(now time.Duration, r *request, s *server) {
+	a := b.begin(now, r, s)
+	if s.breaker == halfOpen {
+		s.trial = a
+	}
+	work := b.loneLatency(r)
+	s.rate.add(now, work)
+	s.coldSaved -= work
+	b.host.Send(r.ID, s.Server, 0)
+}
+
+// ---- requests
+
+// Request takes a client's request.
+func (b *Balancer) Request(now time.Duration, q Request) {
+	if b.requests[q.ID] != nil {
+		return
+	}
+	if q.Class < 0 || q.Class >= len(b.classes) {
+		b.host.Refuse(q.ID, 0)
+		return
+	}
+	c := &b.classes[q.Class]
+	r := b.newRequest(q, c)
+	r.end = now + min(q.Left, c.Deadline)
+	r.useful = min(r.end, now+c.Aim+time.Duration(c.AimStretch*float64(q.Hint)))
+	r.worth = c.Worth
+	over := q.Tenant >= 0 && q.Tenant < len(b.tenants) && !b.tenants[q.Tenant].take(now)
+	if over {
+		r.worth *= b.set.OverShareWorth
+	}
+	b.demand.add(now, b.loneLatency(r))
+	b.copyTokens = min(b.copyTokens+copyBudget, copyBurst)
+	if b.thin() && !b.admit(now, over) {
+		b.giveUp(now, r)
+	} else {
+		b.hold(r)
+		b.dispatch(now)
+		b.sweepLater(now)
+	}
+}
+
+// before orders the held requests: most worth for its work first, then earliest end of use.
+func (r *request) before(o *request) bool {
+	x, y := r.worth/r.class.work, o.worth/o.class.work
+	return x > y || (x == y && r.useful < o.useful)
+}
+
+// dispatch sends what is held while servers have room; with every breaker open it refuses at once.
+func (b *Balancer) dispatch(now time.Duration) {
+	if len(b.held) == 0 {
+		return
+	}
+	b.refresh(now)
+	kept, full := b.held[:0], false
+	for _, r := range b.held {
+		var s *server
+		if !r.done && !full {
+			s = b.pick(now, r)
+		}
+		switch {
+		case r.done:
+		case s != nil:
+			r.held = false
+			b.send(now, r, s)
+		case b.usable == 0:
+			r.held = false
+			b.giveUp(now, r)
+		default:
+			kept = append(kept, r)
+			full = full || len(r.attempts) == 0 // no room for any that are not bound to a group
+		}
+	}
+	b.held = kept
+}
+
+// giveUp answers a request that is not served: refused where that promise holds, else failed.
+func (b *Balancer) giveUp(now time.Duration, r *request) {
+	if r.mayRefuse() {
+		b.host.Refuse(r.ID, b.retryAfter(now, r))
+	} else {
+		b.host.Fail(r.ID)
+	}
+	b.finish(r)
+}
+
+// retryAfter is the time until the next trial, or some to let a crowd pass.
+func (b *Balancer) retryAfter(now time.Duration, r *request) time.Duration {
+	wait := min(r.class.Aim/2, b.set.Limits.MaxRetryAfter)
+	for _, s := range b.ready {
+		if s.breaker == open {
+			wait = min(wait, max(0, s.reopenAt-now))
+		}
+	}
+	return wait
+}
+
+// Outcome takes the end of an attempt: first for the server's health, then for the request.
+func (b *Balancer) Outcome(now time.Duration, o Outcome) {
+	r, a := b.find(o.ID, o.Attempt)
+	if r == nil {
+		return
+	}
+	b.ended(r, a)
+	a.neverRan = o.Status == Full || o.Status == ConnectFailed || o.Status == Moot
+	b.judge(now, r, a, o)
+	if o.Ended || o.Status == OK {
+		b.finish(r)
+	} else if !r.done && r.out == 0 {
+		b.retry(now, r)
+	}
+	if r.done {
+		b.close(r)
+	}
+	b.dispatch(now)
+}
+
+// judge takes an outcome into the server's health, but none of what a former process was sent.
+func (b *Balancer) judge(now time.Duration, r *request, a *attempt, o Outcome) {
+	s := a.server
+	if b.thin() && (o.Status == OK || o.Status == Full || o.Status == Timeout) {
+		b.press(now, r, o)
+	}
+	if a.sent < s.Started {
+		return
+	}
+	latency := o.Latency.Seconds() / b.loneLatency(r)
+	switch o.Status {
+	case OK:
+		s.record(now, true, latency)
+		s.succeeded(now, a)
+		b.remember(r.Key, s)
+		if b.measure(a, r, o.Latency.Seconds()) && !b.thin() {
+			b.steer(now)
+		}
+	case Error, Reset, ConnectFailed:
+		s.record(now, false, latency)
+		b.failed(now, a, false)
+	case Timeout:
+		// Impatient clients make short time-outs, which say nothing of the server.
+		if latency > b.meanLatency*silentAfter {
+			s.record(now, false, latency)
+			if !a.silent {
+				b.failed(now, a, true)
+			}
+		}
+	case Full:
+		s.fullUntil = now + b.expected(r)
+	case Cancelled:
+		s.record(now, !a.silent, max(latency, s.latency)) // it would have taken longer
+	}
+	if s.trial == a {
+		s.trial = nil // no verdict: the next request is the trial
+	}
+}
+
+// retry waits for the backoff of a further attempt, or answers now if none fits.
+func (b *Balancer) retry(now time.Duration, r *request) {
+	first := time.Duration(float64(r.class.Aim) * backoffPart)
+	delay := b.jitter(first << (len(r.attempts) - 1))
+	possible := slices.ContainsFunc(b.ready, func(s *server) bool {
+		return s.breaker != open && !r.tried(s) && b.maySend(now, r, s)
+	})
+	switch {
+	case !possible || now+delay+b.expected(r) > r.lastUse() || b.thin() && b.copyTokens < 1:
+		b.giveUp(now, r)
+		return
+	case b.thin(): // hundreds of nodes that try three times more where all is full are a storm
+		b.copyTokens--
+	}
+	r.retryAt = now + delay
+	b.sweepLater(now)
+}
+
+// ---- time
+
+// sweep looks at every open request: due retries, those held in vain, attempts out for too long.
+func (b *Balancer) sweep(now time.Duration) {
+	b.refresh(now)
+	b.shed(now)
+	for i := len(b.open) - 1; i >= 0; i-- { // finish moves the last one here, which was seen
+		r := b.open[i]
+		switch {
+		case r.stream:
+		case r.out > 0:
+			b.watch(now, r)
+		case now >= r.end:
+			b.giveUp(now, r)
+		case r.retryAt > 0 && now >= r.retryAt:
+			r.retryAt = 0
+			b.hold(r)
+		}
+	}
+	b.dispatch(now)
+	b.sweepLater(now)
+}
+
+// shed ends the wait of held requests that cannot be in time any more, or lets them wait behind the
+// rest where a late answer still has some worth.
+func (b *Balancer) shed(now time.Duration) {
+	kept, late := b.held[:0], b.late[:0]
+	for _, r := range b.held {
+		switch {
+		case r.done || now+b.expected(r) <= r.useful:
+			kept = append(kept, r)
+		case r.class.LateWorth > 0 && r.useful < r.end:
+			r.useful = r.end
+			r.worth *= r.class.LateWorth
+			late = append(late, r)
+		default:
+			r.held = false
+			b.giveUp(now, r)
+		}
+	}
+	b.held = kept
+	for _, r := range late {
+		b.hold(r)
+	}
+	b.late = late
+}
+
+// watch counts attempts that a silent server leaves unanswered as failures, and sends second copies.
+func (b *Balancer) watch(now time.Duration, r *request) {
+	expected := b.expected(r)
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		age := float64(now - a.sent)
+		if a.out && !a.silent && age > silentAfter*float64(expected) && a.server.answeredAt < a.sent {
+			a.silent = true
+			b.failed(now, a, true)
+		}
+	}
+	last := &r.attempts[len(r.attempts)-1]
+	overdue := last.out && float64(now-last.sent) > copyAfter*float64(expected)
+	if !overdue || r.out > 1 || !b.set.Limits.SecondCopies || b.copyTokens < 1 || now+expected > r.useful {
+		return
+	}
+	if s := b.pick(now, r); s != nil {
+		b.copyTokens--
+		b.send(now, r, s)
+	}
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,520 @@
+package policy
+
+// What a Balancer remembers, and the bookkeeping on it. Nothing is decided here.
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// The tokens of the timers.
+const tokenSweep, tokenWatch = 0, 1
+
+type breaker uint8
+
+const (
+	closed breaker = iota
+	open
+	halfOpen
+)
+
+// outcome is one judged attempt: whether it succeeded, and its latency as a
+// multiple of what a lone request of its class takes.
+type outcome struct {
+	at      time.Duration
+	ok      bool
+	latency float64
+}
+
+type server struct {
+	Entry
+	breaker  breaker
+	near     bool            // in this node's zone
+	failures []time.Duration // consecutive failures within the window
+	openFor  time.Duration
+	reopenAt time.Duration // when open: turns half-open
+	trial    *attempt      // when half-open: the one trial that is out
+
+	ring       [outcomesKept]outcome
+	head, kept int
+	good       int     // successes in the ring
+	latencySum float64 // of the successes in the ring
+	answeredAt time.Duration
+	score      float64 // as of the last refresh
+	success    float64
+	latency    float64
+
+	out       []*attempt // own attempts in flight, oldest first
+	rounding  float64    // in [0,1): see bound
+	lone      float64    // mean latency, as a logarithm, of attempts sent while no other was out
+	loneSeen  float64
+	fullUntil time.Duration // it turned a request away as full
+
+	rate      meter   // work sent to it
+	coldSaved float64 // work that it may be sent while it is cold, as of coldAt
+	coldAt    time.Duration
+}
+
+// meter is an exponentially decaying rate of work per second.
+type meter struct {
+	at    time.Duration
+	value float64
+}
+
+const meterSpan = 2.0 // seconds
+
+func (m *meter) add(now time.Duration, work float64) {
+	m.value = m.perSecond(now) + work/meterSpan
+	m.at = now
+}
+
+func (m *meter) perSecond(now time.Duration) float64 {
+	gone := (now - m.at).Seconds() / meterSpan
+	return m.value / (1 + gone + gone*gone/2) // close to exp(-gone)
+}
+
+type attempt struct {
+	server     *server
+	request    *request
+	zone, cell int
+	sent       time.Duration
+	out        bool
+	neverRan   bool
+	lone       bool // no other attempt of ours was out at the server
+	silent     bool // counted as a failure for its silence
+}
+
+type request struct {
+	Request
+	class    *class
+	end      time.Duration // the client gives up
+	useful   time.Duration // an answer after this is worth nothing
+	worth    float64       // what an answer is worth now
+	attempts []attempt
+	out      int
+	retryAt  time.Duration // waits for its backoff if not 0
+	held     bool
+	stream   bool
+	done     bool
+	index    int // place in Balancer.open
+}
+
+type class struct {
+	Class
+	stretch   float64 // of the aim in the pressure
+	lone      float64 // mean latency of a lone request of mean size, seconds
+	yardstick float64 // that, once it had settled
+	loneSeen  float64
+	work      float64 // mean latency of all its served requests; 1 where worth counts by work
+	seen      float64
+	hint      float64 // mean hint, seconds
+	hinted    float64
+}
+
+// bucket is a token bucket of one second's worth; without a rate it never ends.
+type bucket struct {
+	perSecond, tokens float64
+	at                time.Duration
+}
+
+func (t *bucket) take(now time.Duration) bool {
+	t.tokens = min(max(t.perSecond, 1), t.tokens+t.perSecond*(now-t.at).Seconds())
+	t.at = now
+	if t.perSecond > 0 && t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// Balancer decides for one node. Create it with New.
+type Balancer struct {
+	set     Settings
+	host    Host
+	rng     *rand.Rand
+	classes []class
+	tenants []bucket
+
+	allUnsafe bool // no class may ever be repeated
+
+	servers map[ServerID]*server
+	ready   []*server // listed as ready, in the order of the list
+	weight  float64   // mean of the ready servers
+	usable  int       // closed or awaiting a trial, as of the last refresh
+	choices []*server
+	keys    map[uint64]*server // who served a key last
+
+	requests map[RequestID]*request
+	open     []*request // those that are not done
+	held     []*request // those that wait for room, the most worth first
+	late     []*request // scratch space of shed
+	pool     []*request
+
+	refreshed   time.Duration
+	meanSuccess float64
+	meanLatency float64 // multiple of a lone request's
+	demand      meter   // work asked for
+	warm        int     // warm servers whose breaker is closed, as of the last refresh
+	warmRate    float64 // work a second sent to them
+	shares      float64 // of their capacity that all ready servers have, summed
+	out         int     // own attempts in flight
+	limit       float64 // bound on them for each ready server; may be below one
+	loneSeen    int
+	crowded     bool
+	limitKnown  float64 // the highest lately without a crowd
+	typical     float64 // mean latency of late, seconds
+	steered     time.Duration
+	crowding    float64 // mean latency over a lone request's at the same server, as a logarithm
+	pressure    float64 // mean latency as a share of the aim
+	pressedAt   time.Duration
+	admitted    float64 // share of the requests that go out
+	overPart    float64 // share of the requests that lie beyond their tenant's share
+	copyTokens  float64
+	sweeping    bool
+	watchDelay  time.Duration
+}
+
+func (s *server) forget(oldest *outcome) {
+	s.kept--
+	if oldest.ok {
+		s.good--
+		s.latencySum -= oldest.latency
+	}
+}
+
+func (s *server) record(now time.Duration, ok bool, latency float64) {
+	if s.kept == outcomesKept {
+		s.forget(&s.ring[s.head])
+	}
+	s.ring[s.head] = outcome{now, ok, latency}
+	s.head = (s.head + 1) % outcomesKept
+	s.kept++
+	if ok {
+		s.good++
+		s.latencySum += latency
+	}
+}
+
+// tally drops outcomes that are too old and sums up the rest over the fleet.
+func (b *Balancer) tally(now time.Duration) {
+	kept, good, latency := 0, 0, 0.0
+	b.warm, b.warmRate, b.shares = 0, 0, 0
+	for _, s := range b.ready {
+		for s.kept > 0 {
+			oldest := &s.ring[(s.head+outcomesKept-s.kept)%outcomesKept]
+			if now-oldest.at < outcomesFor {
+				break
+			}
+			s.forget(oldest)
+		}
+		b.shares += b.coldShare(s, now)
+		if s.breaker == closed && b.coldShare(s, now) >= 1 {
+			b.warm++
+			b.warmRate += s.rate.perSecond(now)
+		}
+		kept += s.kept
+		good += s.good
+		latency += s.latencySum
+	}
+	if kept > 0 {
+		b.meanSuccess = float64(good) / float64(kept)
+	}
+	if good > 0 {
+		b.meanLatency = latency / float64(good)
+	}
+}
+
+// list applies a list or changes to one. What a server was found to be is kept
+// while it stays the same process; a restart makes it unmeasured again.
+func (b *Balancer) list(kind ListKind, entries []Entry) {
+	if kind != ListDelta {
+		for _, s := range b.ready {
+			s.State = Gone
+		}
+		b.ready = b.ready[:0]
+	}
+	for _, e := range entries {
+		s := b.servers[e.Server]
+		if s == nil {
+			s = &server{rounding: b.rng.Float64(), openFor: openFirst}
+			b.servers[e.Server] = s
+		} else if e.Started != s.Started {
+			*s = server{Entry: s.Entry, rounding: s.rounding, openFor: openFirst, out: s.out}
+		}
+		listed := s.State == Ready
+		s.Entry = e
+		s.near = e.Zone == b.set.Zone
+		if e.State == Ready && !listed {
+			b.ready = append(b.ready, s)
+		}
+	}
+	kept := b.ready[:0]
+	b.weight = 0
+	for _, s := range b.ready {
+		if s.State == Ready {
+			kept = append(kept, s)
+			b.weight += s.Weight
+		}
+	}
+	b.ready = kept
+	b.weight /= float64(max(1, len(kept)))
+	for id, s := range b.servers {
+		if s.State == Gone && len(s.out) == 0 {
+			delete(b.servers, id)
+		}
+	}
+}
+
+// newRequest adds a request to the open ones.
+func (b *Balancer) newRequest(q Request, c *class) *request {
+	if q.Hint > 0 {
+		c.hinted = min(c.hinted+1, 64)
+		c.hint += (q.Hint.Seconds() - c.hint) / c.hinted
+	}
+	var r *request
+	if n := len(b.pool); n > 0 {
+		r = b.pool[n-1]
+		b.pool = b.pool[:n-1]
+	} else {
+		r = &request{attempts: make([]attempt, 0, b.set.Limits.MaxAttempts)} // never grown: servers point into it
+	}
+	*r = request{Request: q, class: c, attempts: r.attempts[:0], index: len(b.open)}
+	b.requests[q.ID] = r
+	b.open = append(b.open, r)
+	return r
+}
+
+// hold puts a request into the queue.
+func (b *Balancer) hold(r *request) {
+	low, high := 0, len(b.held)
+	for low < high {
+		if mid := (low + high) / 2; r.before(b.held[mid]) {
+			high = mid
+		} else {
+			low = mid + 1
+		}
+	}
+	b.held = slices.Insert(b.held, low, r)
+	r.held = true
+}
+
+// begin puts a new attempt on the books.
+func (b *Balancer) begin(now time.Duration, r *request, s *server) *attempt {
+	r.attempts = append(r.attempts, attempt{
+		server: s, request: r, zone: s.Zone, cell: s.Cell, sent: now, out: true,
+		lone: len(s.out) == 0 && b.out*b.set.Nodes <= 3*len(b.ready),
+	})
+	a := &r.attempts[len(r.attempts)-1]
+	r.out++
+	b.out++
+	s.out = append(s.out, a)
+	return a
+}
+
+// find gives the attempt that an event is about; nil if it is not out.
+func (b *Balancer) find(id RequestID, index int) (*request, *attempt) {
+	r := b.requests[id]
+	if r == nil || index < 0 || index >= len(r.attempts) || !r.attempts[index].out {
+		return nil, nil
+	}
+	return r, &r.attempts[index]
+}
+
+// ended takes an attempt off the books.
+func (b *Balancer) ended(r *request, a *attempt) {
+	a.out = false
+	r.out--
+	b.out--
+	if i := slices.Index(a.server.out, a); i >= 0 {
+		a.server.out = slices.Delete(a.server.out, i, i+1)
+	}
+}
+
+func (c *class) sameGroup(a *attempt, s *server) bool {
+	switch c.Scope {
+	case ScopeZone:
+		return a.zone == s.Zone
+	case ScopeCell:
+		return a.cell == s.Cell
+	}
+	return true
+}
+
+func (r *request) tried(s *server) bool {
+	for i := range r.attempts {
+		if r.attempts[i].server == s {
+			return true
+		}
+	}
+	return false
+}
+
+// size is the request's work as a multiple of its class's mean, where hinted.
+func (r *request) size() float64 {
+	if r.Hint <= 0 || r.class.hint <= 0 {
+		return 1
+	}
+	return min(max(r.Hint.Seconds()/r.class.hint, 0.25), 4)
+}
+
+// close takes a request off the books once it is done and its attempts are in.
+func (b *Balancer) close(r *request) {
+	if !r.done {
+		r.done = true
+		last := b.open[len(b.open)-1]
+		b.open[r.index] = last
+		last.index = r.index
+		b.open = b.open[:len(b.open)-1]
+	}
+	if r.out == 0 && b.requests[r.ID] == r {
+		delete(b.requests, r.ID)
+		if !r.held { // else dispatch drops it from the queue first
+			b.pool = append(b.pool, r)
+		}
+	}
+}
+
+// lastUse is when an answer loses its last worth.
+func (r *request) lastUse() time.Duration {
+	if r.class.LateWorth > 0 {
+		return r.end
+	}
+	return r.useful
+}
+
+// loneLatency is what the request should take on a server of its own, in seconds.
+func (b *Balancer) loneLatency(r *request) float64 { return r.class.lone*r.size() + 0.001 }
+
+// expected is what the request should take at present.
+func (b *Balancer) expected(r *request) time.Duration {
+	return time.Duration(b.loneLatency(r) * b.meanLatency * float64(time.Second))
+}
+
+// jitter spreads a delay by a fifth either way, so that doubled delays still grow.
+func (b *Balancer) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.8 + 0.4*b.rng.Float64()))
+}
+
+func (b *Balancer) notClosed() (count int) {
+	for _, s := range b.ready {
+		if s.breaker != closed {
+			count++
+		}
+	}
+	return count
+}
+
+// measure takes in how long a served request took, compared to lone ones of its
+// class at its server; false while these are not known.
+func (b *Balancer) measure(a *attempt, r *request, latency float64) bool {
+	s, c := a.server, r.class
+	b.typical += (latency - b.typical) / 64
+	c.seen = min(c.seen+1, 400)
+	if !b.set.WorthByWork {
+		c.work += (latency - c.work) / c.seen // by all answers: lone ones are rare in a busy fleet
+	}
+	if a.lone {
+		c.loneSeen = min(c.loneSeen+1, 400)
+		c.lone += (latency/r.size() - c.lone) / c.loneSeen
+		if c.loneSeen == loneSettled {
+			c.yardstick = c.lone // stays: servers are compared by it from now on
+		}
+	}
+	if c.yardstick == 0 {
+		return false
+	}
+	relative := math.Log(max(latency, 1e-4) / (c.yardstick * r.size()))
+	if a.lone {
+		s.loneSeen = min(s.loneSeen+1, 16)
+		s.lone += (relative - s.lone) / s.loneSeen
+		b.loneSeen++
+	}
+	if s.loneSeen == 0 {
+		return false
+	}
+	b.crowding += (relative - s.lone - b.crowding) / 64
+	return true
+}
+
+// remember notes who served a key last. The notes stay few: they soon lose their use.
+func (b *Balancer) remember(key uint64, s *server) {
+	if len(b.keys) >= 4096 {
+		clear(b.keys)
+	}
+	b.keys[key] = s
+}
+
+// Timer takes a timer set before; one that nobody needs any more does no harm.
+func (b *Balancer) Timer(now time.Duration, token uint64) {
+	switch token {
+	case tokenSweep:
+		b.sweeping = false
+		b.sweep(now)
+	case tokenWatch:
+		b.host.WatchList()
+	}
+}
+
+func (b *Balancer) sweepLater(now time.Duration) {
+	if !b.sweeping && len(b.open) > 0 {
+		b.sweeping = true
+		b.host.SetTimer(now+sweepEvery, tokenSweep)
+	}
+}
+
+// finish ends a request; attempts that are still out are cancelled.
+func (b *Balancer) finish(r *request) {
+	if !r.done {
+		b.cancel(r, nil)
+	}
+	b.close(r)
+}
+
+// Left is told when a client went away: nothing is owed any more.
+func (b *Balancer) Left(now time.Duration, id RequestID) {
+	if r := b.requests[id]; r != nil {
+		b.finish(r)
+	}
+}
+
+// cancel stops the attempts that are out but for one.
+func (b *Balancer) cancel(r *request, kept *attempt) {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.out && a != kept && b.set.Limits.Cancel {
+			b.host.Cancel(r.ID, i)
+		}
+	}
+}
+
+// Started is told when the answer's stream began: the attempt is the client's now.
+func (b *Balancer) Started(now time.Duration, id RequestID, index int) {
+	r, a := b.find(id, index)
+	if r == nil {
+		return
+	}
+	r.stream = true
+	a.server.succeeded(now, a)
+	b.cancel(r, a)
+}
+
+// draw gives one of the choices but one, at random in proportion to their weights
+// and what they can do while cold.
+func (b *Balancer) draw(but int) (pick int) {
+	total := 0.0
+	for i, s := range b.choices {
+		if i == but {
+			continue
+		}
+		weight := s.Weight
+		if weight <= 0 {
+			weight = max(b.weight, 1)
+		}
+		weight *= b.coldShare(s, b.refreshed)
+		if total += weight; b.rng.Float64()*total <= weight {
+			pick = i
+		}
+	}
+	return pick
+}
