Add the real node: one program on real sockets around the module

A loop owns the Balancer, its requests and the clock; front, upstream and discovery post events to it. ParseSettings is split so that the node reads names and connection times by the same parser.

--- /dev/null
+++ b/cmd/otterstep/main.go
@@ -0,0 +1,36 @@
+// Command otterstep is one load-balancing node. Its configuration is the file
+// that PROXY_CONFIG names; SIGTERM and SIGINT make it drain and exit with 0.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"eiderrock/internal/node"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "otterstep:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context) error {
+	path := os.Getenv("PROXY_CONFIG")
+	if path == "" {
+		return errors.New("configuration: PROXY_CONFIG names no file")
+	}
+	cfg, err := node.LoadConfig(path)
+	if err != nil {
+		return err
+	}
+	return node.Run(ctx, cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"eiderrock/internal/wire"
+)
+
+// Config is what a node is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	MemoryMB  int
+	Sockets   int
+	Known     hostList
+	Site      wire.Site
+}
+
+// LoadConfig reads and checks the configuration file.
+func LoadConfig(path string) (Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	var file struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int
+		}
+		Known    hostList
+		Settings json.RawMessage
+	}
+	bad := func(what string, err error) (Config, error) {
+		return Config{}, fmt.Errorf("configuration %s: %s: %w", path, what, err)
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		return bad("JSON", err)
+	}
+	for name, addr := range map[string]string{"listen": file.Listen, "discovery": file.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return bad(name, err)
+		}
+	}
+	c := Config{
+		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery,
+		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Known: file.Known,
+	}
+	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		return bad("seed", err)
+	}
+	if c.Sockets < leastSockets {
+		return bad("limits.sockets", fmt.Errorf("%d, at least %d are needed", c.Sockets, leastSockets))
+	}
+	if len(file.Settings) == 0 {
+		return bad("settings", errors.New("none given"))
+	}
+	if c.Site, err = wire.ParseSite(file.Settings); err != nil {
+		return bad("settings", err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/node/discovery.go
@@ -0,0 +1,205 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"eiderrock/policy"
+)
+
+const (
+	watchWait    = 10 * time.Second // a watch answers after this at the latest
+	watchGrace   = 1500 * time.Millisecond
+	listWait     = 2 * time.Second
+	backoffFirst = 50 * time.Millisecond
+	backoffMost  = 800 * time.Millisecond
+	maxList      = 4 << 20
+)
+
+// hostList is discovery's list of servers or the changes to it.
+type hostList struct {
+	Rev     int64    `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []target `json:"targets"`
+}
+
+type target struct {
+	UID          string  `json:"uid"`
+	Endpoint     string  `json:"endpoint"`
+	AZ           string  `json:"az"`
+	PodGroup     int     `json:"pod_group"`
+	State        string  `json:"state"`
+	CapacityHint float64 `json:"capacity_hint"`
+	BootMs       int64   `json:"boot_ms"`
+}
+
+// discovery follows the list of servers: once as a whole, then by a watch that
+// is re-armed at once, so that no change falls between two calls.
+type discovery struct {
+	addr  string
+	asked bool // discovery is one service for all: the module says when to call again
+	zones []string
+	clock clock
+	log   *slog.Logger
+	// members hands a list on; endpoints go with the entries.
+	members func(kind policy.ListKind, entries []policy.Entry, endpoints []string)
+	// first is called once the first list is in place, or the first call has
+	// failed and the known list has to do.
+	first func()
+
+	client http.Client
+	wanted chan struct{} // the module wants a watch
+	rev    int64
+	listed bool // rev is discovery's own
+}
+
+func newDiscovery(addr string, asked bool, zones []string, c clock, log *slog.Logger) *discovery {
+	return &discovery{
+		addr: addr, asked: asked, zones: zones, clock: c, log: log, wanted: make(chan struct{}, 1),
+		client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+	}
+}
+
+// watch asks for a call after a failed one; it never blocks.
+func (d *discovery) watch() {
+	select {
+	case d.wanted <- struct{}{}:
+	default:
+	}
+}
+
+// run follows the list until ctx ends.
+func (d *discovery) run(ctx context.Context) {
+	defer d.client.CloseIdleConnections()
+	backoff, down, started := backoffFirst, false, false
+	for ctx.Err() == nil {
+		err := d.call(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if !started {
+			started = true
+			d.first()
+		}
+		if err == nil {
+			if down {
+				d.log.Info("discovery is back", "rev", d.rev)
+			}
+			backoff, down = backoffFirst, false
+			continue
+		}
+		if !down {
+			down = true
+			d.log.Warn("discovery is down, keeping the list", "rev", d.rev, "err", err)
+		}
+		if d.asked { // its calls cost all nodes: the module spreads them
+			for len(d.wanted) > 0 {
+				<-d.wanted
+			}
+			d.members(policy.ListFailed, nil, nil)
+			select {
+			case <-d.wanted:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		select {
+		case <-time.After(backoff):
+		case <-ctx.Done():
+		}
+		backoff = min(2*backoff, backoffMost)
+	}
+}
+
+// call makes one call, of the whole list at first and then of what is newer.
+func (d *discovery) call(ctx context.Context) error {
+	address := url.URL{Scheme: "http", Host: d.addr, Path: "/discovery/hosts"}
+	wait := listWait
+	if d.listed {
+		wait = watchWait + watchGrace
+		address.RawQuery = "since=" + strconv.FormatInt(d.rev, 10) +
+			"&timeout_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), nil)
+	if err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		if resp.StatusCode/100 == 4 {
+			d.listed = false // it does not know our version: start over
+		}
+		return fmt.Errorf("list: status %s", resp.Status)
+	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	if err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	var list hostList
+	if err := json.Unmarshal(text, &list); err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	if !d.listed && !list.All {
+		return errors.New("list: changes in place of the whole list")
+	}
+	d.listed, d.rev = true, list.Rev
+	kind := policy.ListDelta
+	if list.All {
+		kind = policy.ListFull
+	}
+	if list.All || len(list.Targets) > 0 || d.asked {
+		d.hand(kind, list.Targets)
+	}
+	return nil
+}
+
+// hand turns discovery's lines into the module's entries.
+func (d *discovery) hand(kind policy.ListKind, targets []target) {
+	entries, endpoints := make([]policy.Entry, len(targets)), make([]string, len(targets))
+	for i, t := range targets {
+		entries[i] = policy.Entry{
+			Server: serverID(t.UID), Zone: slices.Index(d.zones, t.AZ), Cell: t.PodGroup,
+			State: state(t.State), Weight: max(0, t.CapacityHint), Started: d.clock.fromUnixMs(t.BootMs),
+		}
+		endpoints[i] = t.Endpoint
+		if kind == policy.ListDelta {
+			d.log.Info("server", "uid", t.UID, "endpoint", t.Endpoint, "state", t.State, "boot_ms", t.BootMs)
+		}
+	}
+	d.members(kind, entries, endpoints)
+}
+
+// state reads a word for a server's state. One that is new to us gets no new work.
+func state(word string) policy.State {
+	switch word {
+	case "in_service":
+		return policy.Ready
+	case "terminated":
+		return policy.Gone
+	}
+	return policy.Draining
+}
+
+// serverID names a server to the module: the same for a uid at all times, so
+// nothing has to be remembered for servers that come and go.
+func serverID(uid string) policy.ServerID {
+	h := fnv.New64a()
+	io.WriteString(h, uid)
+	return policy.ServerID(h.Sum64())
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,127 @@
+// Package node is the real node: it drives the decision module of package policy
+// with what happens on sockets, and decides nothing itself.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"eiderrock/policy"
+)
+
+const (
+	// The descriptors that are neither clients' nor servers' connections:
+	// standard streams, listener, poller, discovery.
+	otherSockets = 16
+	leastSockets = 64
+
+	// Clients connect for up to 0.4 s after SIGTERM, and go on using what they have.
+	drainFor = 500 * time.Millisecond
+	// After that what was taken gets its answer, and a little for the last bytes.
+	drainSlack = 100 * time.Millisecond
+
+	headTimeout = 5 * time.Second // a client may take so long over a head or a body
+	idleTimeout = 2 * time.Minute
+	maxHeader   = 16 << 10
+)
+
+// Run serves until ctx ends, then drains: it goes on accepting for a while,
+// answers all that it took and returns nil.
+func Run(ctx context.Context, cfg Config, log *slog.Logger) error {
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+	}
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return serve(ctx, cfg, listener, log)
+}
+
+func serve(ctx context.Context, cfg Config, listener net.Listener, log *slog.Logger) error {
+	defer listener.Close()
+	c := newClock()
+	set := cfg.Site.Settings
+	each := (cfg.Sockets - otherSockets) / 2
+	up := newUpstream(cfg.Site.ConnIdle, cfg.Site.ConnectTimeout, each)
+	disco := newDiscovery(cfg.Discovery, set.ListAsked, cfg.Site.Zones, c, log)
+	l, err := newLoop(set, cfg.Seed, c, up, disco.watch)
+	if err != nil {
+		return err
+	}
+	var ready atomic.Bool
+	disco.first = func() {
+		ready.Store(true)
+		log.Info("ready", "node", cfg.Name, "listen", listener.Addr().String())
+	}
+	disco.members = func(kind policy.ListKind, entries []policy.Entry, endpoints []string) {
+		// Waits until the list is in place, so that /up does not run ahead of it.
+		placed := make(chan struct{})
+		if l.post(func() { l.members(kind, entries, endpoints); close(placed) }) {
+			select {
+			case <-placed:
+			case <-l.stopped:
+			}
+		}
+	}
+
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go l.run(background)
+	go func() {
+		disco.hand(policy.ListCached, cfg.Known.Targets)
+		disco.run(background)
+	}()
+	go func() {
+		for every := time.Tick(time.Second); background.Err() == nil; <-every {
+			up.sweep()
+		}
+	}()
+
+	var clients atomic.Int64
+	f := newFront(l, cfg.Site, ready.Load, func() bool { return clients.Load() > int64(each)*3/4 })
+	server := http.Server{
+		Handler: f, ReadHeaderTimeout: headTimeout, ReadTimeout: headTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeader, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnState: func(_ net.Conn, s http.ConnState) {
+			switch s {
+			case http.StateNew:
+				clients.Add(1)
+			case http.StateClosed, http.StateHijacked:
+				clients.Add(-1)
+			}
+		},
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(netutil.LimitListener(listener, each)) }()
+	select {
+	case err := <-ended:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+
+	log.Info("draining")
+	f.draining.Store(true)
+	time.Sleep(drainFor)
+	longest := time.Duration(0)
+	for _, class := range set.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	limit, cancel := context.WithTimeout(background, longest+drainSlack)
+	defer cancel()
+	if err := server.Shutdown(limit); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("shut down: %w", err)
+	}
+	server.Close()
+	log.Info("stopped")
+	return nil
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -39,13 +39,16 @@
 }
 
 type settingsJSON struct {
-	Accounts  []struct{ QuotaPerS float64 }
+	Accounts []struct {
+		Name      string
+		QuotaPerS float64
+	}
 	Balancers *int
 	Classes   []struct {
 		DeadlineMs, PromiseMs, KeyTtlMs ms
 		AimStretch, LateWorth           float64
 		Importance                      *float64
-		Effect, DedupScope              string
+		Name, Effect, DedupScope        string
 		Streaming                       bool
 	}
 	Contract struct {
@@ -59,10 +62,23 @@
 		Cancel, RetryAfter, SecondCopies bool
 		MaxAttempts                      *int
 		MaxRetryAfterMs                  ms
+		ConnIdleMs, ConnectTimeoutMs     ms
 	}
 	Locality       int
 	OverShareWorth *float64
 	RegistryMode   string
+	Zones          []string
+}
+
+// Site is what the settings say beyond the decisions: names as they stand on
+// sockets, in the order of their indices, and the times of connections.
+type Site struct {
+	Settings       policy.Settings
+	Classes        []string
+	Tenants        []string
+	Zones          []string
+	ConnIdle       time.Duration // a server closes a connection that was idle for so long
+	ConnectTimeout time.Duration
 }
 
 // set replaces a default by what was given.
@@ -75,11 +91,42 @@
 // ParseSettings reads an instance's settings. Unknown keys are skipped and
 // absent ones keep policy.Defaults; a class without an effect counts as unsafe.
 func ParseSettings(text []byte) (policy.Settings, error) {
-	s := policy.Defaults()
 	var j settingsJSON
 	if err := json.Unmarshal(text, &j); err != nil {
-		return s, fmt.Errorf("settings: %w", err)
+		return policy.Defaults(), fmt.Errorf("settings: %w", err)
+	}
+	return j.policy()
+}
+
+// ParseSite reads the same settings with what a node on sockets needs besides.
+func ParseSite(text []byte) (Site, error) {
+	var j settingsJSON
+	if err := json.Unmarshal(text, &j); err != nil {
+		return Site{}, fmt.Errorf("settings: %w", err)
+	}
+	s, err := j.policy()
+	if err != nil {
+		return Site{}, err
 	}
+	site := Site{
+		Settings: s, Zones: j.Zones,
+		ConnIdle:       j.Limits.ConnIdleMs.or(15 * time.Second),
+		ConnectTimeout: j.Limits.ConnectTimeoutMs.or(250 * time.Millisecond),
+	}
+	for i, c := range j.Classes {
+		if c.Name == "" {
+			return Site{}, fmt.Errorf("settings: Classes[%d].Name: none given", i)
+		}
+		site.Classes = append(site.Classes, c.Name)
+	}
+	for _, t := range j.Accounts {
+		site.Tenants = append(site.Tenants, t.Name)
+	}
+	return site, nil
+}
+
+func (j *settingsJSON) policy() (policy.Settings, error) {
+	s := policy.Defaults()
 	set(&s.Nodes, j.Balancers)
 	set(&s.OverShareWorth, j.OverShareWorth)
 	set(&s.Limits.MaxAttempts, j.Limits.MaxAttempts)
