Test the node over loopback sockets

Covers each row of the outcome table, no hidden resend on a kept connection that dies, closed and old idle connections, the caps, a client gone, a silent server at the deadline, refusals with Retry-After, drains, a watch that breaks and comes back, SIGTERM under load and bad configurations.

Ruled out while testing: two idle servers do not both get requests one at a time; the module's pick prefers the first on ties, so the drain test drains the one that is used.

--- /dev/null
+++ b/cmd/otterstep/main_test.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test binary stand in for the program.
+func TestMain(m *testing.M) {
+	if os.Getenv("OTTERSTEP_MAIN") == "1" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func program(config string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "OTTERSTEP_MAIN=1", "PROXY_CONFIG="+config)
+	return cmd
+}
+
+func configFile(t *testing.T, change func(map[string]any)) string {
+	t.Helper()
+	config := map[string]any{
+		"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known":  map[string]any{"rev": 1, "all": true, "targets": []any{}},
+		"settings": map[string]any{
+			"Classes": []any{map[string]any{"Name": "book", "DeadlineMs": 2000, "Effect": "side_effect"}},
+			"Limits":  map[string]any{"MaxAttempts": 2},
+		},
+	}
+	change(config)
+	text, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestBadConfigurationIsOneClearLine(t *testing.T) {
+	noJSON := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(noJSON, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct{ path, word string }{
+		"none named": {"", "PROXY_CONFIG"},
+		"no file":    {filepath.Join(t.TempDir(), "none.json"), "none.json"},
+		"no JSON":    {noJSON, "JSON"},
+		"listen":     {configFile(t, func(c map[string]any) { c["listen"] = "nowhere" }), "listen"},
+		"discovery":  {configFile(t, func(c map[string]any) { delete(c, "discovery") }), "discovery"},
+		"seed":       {configFile(t, func(c map[string]any) { c["seed"] = "xyz" }), "seed"},
+		"sockets":    {configFile(t, func(c map[string]any) { c["limits"] = map[string]any{"sockets": 3} }), "sockets"},
+		"settings":   {configFile(t, func(c map[string]any) { delete(c, "settings") }), "settings"},
+		"module": {configFile(t, func(c map[string]any) {
+			c["settings"] = map[string]any{"Classes": []any{map[string]any{"Name": "a", "DeadlineMs": -5}}}
+		}), "Deadline"},
+		"address": {configFile(t, func(c map[string]any) { c["listen"] = "127.0.0.1:99999" }), "listen"},
+	} {
+		var stderr bytes.Buffer
+		cmd := program(c.path)
+		cmd.Stderr = &stderr
+		err := cmd.Run()
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) || exit.ExitCode() <= 0 {
+			t.Errorf("%s: ended with %v, want a non-zero exit code", name, err)
+		}
+		if text := stderr.String(); strings.Count(text, "\n") != 1 || !strings.Contains(text, c.word) {
+			t.Errorf("%s: stderr %q, want one line that names %s", name, text, c.word)
+		}
+	}
+}
+
+// Guards rule 1 at a planned restart: under load every connection that came
+// before the node stopped accepting gets its whole answer, and the exit code is 0.
+func TestSIGTERMUnderLoadLosesNothing(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		io.WriteString(w, r.Header.Get("X-Correlation-Id"))
+	}))
+	defer backend.Close()
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("since") {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(time.Second):
+			}
+			io.WriteString(w, `{"rev":1,"all":false,"targets":[]}`)
+			return
+		}
+		fmt.Fprintf(w, `{"rev":1,"all":true,"targets":[{"uid":"s1","endpoint":%q,"state":"in_service","capacity_hint":1}]}`,
+			backend.Listener.Addr())
+	}))
+	defer discovery.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+
+	var stderr bytes.Buffer
+	cmd := program(configFile(t, func(c map[string]any) {
+		c["listen"], c["discovery"] = addr, discovery.Listener.Addr().String()
+	}))
+	cmd.Stderr = &stderr
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	defer cmd.Process.Kill()
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for start := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+		if resp, err := client.Get("http://" + addr + "/up"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				break
+			}
+		}
+		if time.Since(start) > 20*time.Second {
+			t.Fatalf("not up: %s", &stderr)
+		}
+	}
+
+	var clients sync.WaitGroup
+	var answered, atTerm atomic.Int64
+	stop := make(chan struct{})
+	for n := range 8 {
+		clients.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%d-%d", n, i)
+				r, _ := http.NewRequest(http.MethodPost, "http://"+addr+"/book/x", strings.NewReader("b"))
+				for name, value := range map[string]string{
+					"X-Correlation-Id": id, "X-Service-Class": "book", "X-Time-Left": "2.0",
+				} {
+					r.Header.Set(name, value)
+				}
+				resp, err := client.Do(r)
+				if err != nil {
+					t.Errorf("request %s: %v", id, err)
+					return
+				}
+				body, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if err != nil || resp.StatusCode == http.StatusOK && string(body) != id {
+					t.Errorf("request %s: %s, body %q, %v", id, resp.Status, body, err)
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	for answered.Load() < 20 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	atTerm.Store(answered.Load())
+	time.Sleep(150 * time.Millisecond) // connections go on coming for a while
+	close(stop)
+	clients.Wait()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("ended with %v: %s", err, &stderr)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("does not end")
+	}
+	if answered.Load() == atTerm.Load() {
+		t.Error("nothing was answered after SIGTERM")
+	}
+}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,506 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"eiderrock/internal/wire"
+	"eiderrock/policy"
+)
+
+const settings = `{
+ "Accounts": [{"Name": "acme", "QuotaPerS": 1000}],
+ "Classes": [
+  {"Name": "read", "DeadlineMs": 3000, "PromiseMs": 2000, "Effect": "pure"},
+  {"Name": "push", "DeadlineMs": 3000, "PromiseMs": 2000, "Effect": "token", "DedupScope": "all", "KeyTtlMs": 6000},
+  {"Name": "book", "DeadlineMs": 3000, "PromiseMs": 2000, "Effect": "side_effect"}],
+ "Limits": {"MaxAttempts": 4, "Cancel": true, "RetryAfter": true, "MaxRetryAfterMs": 600, "ConnectTimeoutMs": 5000},
+ "Zones": ["a"]}`
+
+// registry is a scripted discovery.
+type registry struct {
+	*httptest.Server
+	mu      sync.Mutex
+	rev     int64
+	all     map[string]target
+	changed map[string]int64 // uid: version of the last change
+	news    chan struct{}    // closed and replaced at each change
+	down    bool
+	failed  int
+	watched int64 // the version that the latest watch is from
+}
+
+func newRegistry(t *testing.T, targets ...target) *registry {
+	d := &registry{rev: 1, all: map[string]target{}, changed: map[string]int64{}, news: make(chan struct{})}
+	for _, e := range targets {
+		d.all[e.UID], d.changed[e.UID] = e, 1
+	}
+	d.Server = httptest.NewServer(d)
+	t.Cleanup(func() { d.CloseClientConnections(); d.Close() })
+	return d
+}
+
+func (d *registry) set(f func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f()
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+func (d *registry) change(e target) {
+	d.set(func() { d.rev++; d.all[e.UID], d.changed[e.UID] = e, d.rev })
+}
+
+func (d *registry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	since := int64(0)
+	if text := r.URL.Query().Get("since"); text != "" && !d.down {
+		since, _ = strconv.ParseInt(text, 10, 64)
+		d.watched = since
+		if news := d.news; since >= d.rev {
+			d.mu.Unlock()
+			select {
+			case <-news:
+			case <-r.Context().Done():
+			}
+			d.mu.Lock()
+		}
+	}
+	if d.down {
+		d.failed++
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	list := hostList{Rev: d.rev, All: since == 0}
+	for uid, e := range d.all {
+		if d.changed[uid] > since {
+			list.Targets = append(list.Targets, e)
+		}
+	}
+	json.NewEncoder(w).Encode(list)
+}
+
+// told waits until the node has taken in all there is: it watches from there.
+func (d *registry) told(t *testing.T) {
+	t.Helper()
+	waitFor(t, "watch from the latest version", func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.watched == d.rev
+	})
+}
+
+func listed(s *server, uid string) target {
+	return target{UID: uid, Endpoint: s.addr, AZ: "a", State: "in_service", CapacityHint: 1}
+}
+
+// startNode runs a node until the test ends; stop drains it.
+func startNode(t *testing.T, d *registry, known ...target) (addr string, stop func() error) {
+	t.Helper()
+	site, err := wire.ParseSite([]byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := Config{
+		Name: "n0", Listen: l.Addr().String(), Discovery: d.Listener.Addr().String(), Seed: 1,
+		Sockets: leastSockets, Known: hostList{Rev: 1, All: true, Targets: known}, Site: site,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- serve(ctx, cfg, l, slog.New(slog.DiscardHandler)) }()
+	stop = sync.OnceValue(func() error { cancel(); return <-ended })
+	t.Cleanup(func() { stop() })
+	waitFor(t, "node that is up", func() bool {
+		resp, err := http.Get("http://" + l.Addr().String() + "/up")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return l.Addr().String(), stop
+}
+
+// clientRequest makes a client's request of a class, as PROTOCOL words it.
+func clientRequest(t *testing.T, addr, class, left string) *http.Request {
+	t.Helper()
+	method, body := http.MethodPost, "payload"
+	if class == "read" {
+		method, body = http.MethodGet, ""
+	}
+	r, err := http.NewRequest(method, "http://"+addr+"/"+class+"/k%2F1?q=%20", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range map[string]string{
+		"X-Correlation-Id": "id-" + left, "X-Service-Class": class, "X-Account": "acme", "X-Time-Left": left,
+	} {
+		r.Header.Set(name, value)
+	}
+	if class == "push" {
+		r.Header.Set("Idempotency-Key", "idem")
+	}
+	return r
+}
+
+// do gives the answer's status, header and body.
+func do(t *testing.T, r *http.Request) (int, http.Header, string) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header, string(body)
+}
+
+func TestRequestGoesOnUnchanged(t *testing.T) {
+	got := make(chan string, 1)
+	s := newServer(t, func(_ int64, r *http.Request, c net.Conn) bool {
+		body, _ := io.ReadAll(r.Body)
+		left, err := strconv.ParseFloat(r.Header.Get("X-Time-Left"), 64)
+		got <- fmt.Sprint(r.Method, " ", r.RequestURI, " ", r.Header.Get("X-Correlation-Id"), " ",
+			r.Header.Get("Idempotency-Key"), " ", string(body), " ", err == nil && left > 0 && left < 2.5)
+		io.WriteString(c, ok("made for you"))
+		return true
+	})
+	addr, _ := startNode(t, newRegistry(t, listed(s, "s1")))
+	for class, want := range map[string]string{
+		"read": "GET /read/k%2F1?q=%20 id-2.5   true",
+		"push": "POST /push/k%2F1?q=%20 id-2.5 idem payload true",
+		"book": "POST /book/k%2F1?q=%20 id-2.5  payload true",
+	} {
+		code, _, body := do(t, clientRequest(t, addr, class, "2.5"))
+		if code != http.StatusOK || body != "made for you" {
+			t.Errorf("%s: answered %d %q", class, code, body)
+		}
+		if line := <-got; line != want {
+			t.Errorf("%s: server got %q, want %q", class, line, want)
+		}
+	}
+}
+
+func TestMalformedRequestsAreTurnedDownAtOnce(t *testing.T) {
+	s := newServer(t, says(ok("x"), true))
+	addr, _ := startNode(t, newRegistry(t, listed(s, "s1")))
+	for name, c := range map[string]struct {
+		class string
+		spoil func(r *http.Request)
+		code  int
+	}{
+		"unknown class":   {"read", func(r *http.Request) { r.Header.Set("X-Service-Class", "nope") }, 400},
+		"unknown account": {"read", func(r *http.Request) { r.Header.Set("X-Account", "nobody") }, 400},
+		"no id":           {"read", func(r *http.Request) { r.Header.Del("X-Correlation-Id") }, 400},
+		"two ids":         {"read", func(r *http.Request) { r.Header.Add("X-Correlation-Id", "b") }, 400},
+		"other path":      {"read", func(r *http.Request) { r.URL.Path, r.URL.RawPath = "/book/1", "" }, 400},
+		"no time":         {"read", func(r *http.Request) { r.Header.Del("X-Time-Left") }, 400},
+		"negative time":   {"read", func(r *http.Request) { r.Header.Set("X-Time-Left", "-1") }, 400},
+		"time no number":  {"read", func(r *http.Request) { r.Header.Set("X-Time-Left", "NaN") }, 400},
+		"hint no number":  {"read", func(r *http.Request) { r.Header.Set("X-Weight-Hint", "x") }, 400},
+		"wrong method":    {"book", func(r *http.Request) { r.Method = http.MethodPut }, 405},
+		"no key":          {"push", func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400},
+		"unsafe with key": {"book", func(r *http.Request) { r.Header.Set("Idempotency-Key", "k") }, 400},
+		"body too long": {"book", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("a", maxBody+1))), maxBody+1
+		}, 413},
+	} {
+		r := clientRequest(t, addr, c.class, "2.5")
+		c.spoil(r)
+		if code, _, _ := do(t, r); code != c.code {
+			t.Errorf("%s: answered %d, want %d", name, code, c.code)
+		}
+	}
+	if n := s.requests.Load(); n != 0 {
+		t.Errorf("%d requests went on, want 0", n)
+	}
+}
+
+// Guards against work and connections that are kept for a client who has left.
+func TestClientGoneEndsTheAttempt(t *testing.T) {
+	came, closed := make(chan struct{}), make(chan struct{})
+	s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		close(came)
+		c.Read(make([]byte, 1)) // returns once the node closes
+		close(closed)
+		return false
+	})
+	addr, _ := startNode(t, newRegistry(t, listed(s, "s1")))
+	ctx, leave := context.WithCancel(t.Context())
+	go func() { <-came; leave() }()
+	began := time.Now()
+	if resp, err := http.DefaultClient.Do(clientRequest(t, addr, "book", "2.9").WithContext(ctx)); err == nil {
+		t.Fatalf("answered %s", resp.Status)
+	}
+	select {
+	case <-closed:
+	case <-time.After(patience):
+		t.Fatal("the attempt's connection stays open")
+	}
+	if time.Since(began) > 2900*time.Millisecond {
+		t.Skip("too slow a machine to tell leaving from the deadline")
+	}
+	if n := s.requests.Load(); n != 1 {
+		t.Errorf("%d attempts, want 1", n)
+	}
+}
+
+// A server that stays silent: the client has its final answer when its time is
+// up, and only a class that may be repeated is told to try again.
+func TestDeadlineWithASilentServer(t *testing.T) {
+	for class, want := range map[string]int{"read": 503, "push": 503, "book": 502} {
+		closed := make(chan struct{}, 8)
+		s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+			c.Read(make([]byte, 1))
+			closed <- struct{}{}
+			return false
+		})
+		addr, _ := startNode(t, newRegistry(t, listed(s, "s1")))
+		began := time.Now()
+		code, _, _ := do(t, clientRequest(t, addr, class, "0.3"))
+		if code != want {
+			t.Errorf("%s: answered %d, want %d", class, code, want)
+		}
+		if took := time.Since(began); took < 200*time.Millisecond {
+			t.Errorf("%s: answered after %v, before the time was up", class, took)
+		}
+		select {
+		case <-closed:
+		case <-time.After(patience):
+			t.Errorf("%s: the attempt goes on", class)
+		}
+	}
+}
+
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	addr, _ := startNode(t, newRegistry(t)) // no server at all
+	began := time.Now()
+	code, header, _ := do(t, clientRequest(t, addr, "push", "2.9"))
+	after, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if code != http.StatusServiceUnavailable || err != nil || after <= 0 || after > 0.6 {
+		t.Errorf("answered %d with Retry-After %q, want 503 and at most 0.6", code, header.Get("Retry-After"))
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("took %v, want an answer at once", took)
+	}
+}
+
+// Guards rule 3: no request goes to a server once its drain was told.
+func TestDrainIsLearned(t *testing.T) {
+	s1, s2 := newServer(t, says(ok("1"), true)), newServer(t, says(ok("2"), true))
+	d := newRegistry(t, listed(s1, "s1"), listed(s2, "s2"))
+	addr, _ := startNode(t, d)
+	_, _, liked := do(t, clientRequest(t, addr, "read", "2.5"))
+	drains, other := s1, "2"
+	gone := listed(s1, "s1")
+	if liked == "2" {
+		drains, other = s2, "1"
+		gone = listed(s2, "s2")
+	}
+	gone.State = "terminating"
+	d.change(gone)
+	d.told(t)
+	before := drains.requests.Load()
+	for range 20 {
+		if code, _, body := do(t, clientRequest(t, addr, "read", "2.5")); code != http.StatusOK || body != other {
+			t.Errorf("answered %d %q, want 200 from the other server", code, body)
+		}
+	}
+	if n := drains.requests.Load(); n != before {
+		t.Errorf("%d requests to the draining server", n-before)
+	}
+}
+
+func TestWatchBreaksAndComesBack(t *testing.T) {
+	s1, s2 := newServer(t, says(ok("1"), true)), newServer(t, says(ok("2"), true))
+	d := newRegistry(t, listed(s1, "s1"))
+	addr, _ := startNode(t, d)
+	d.told(t)
+	d.set(func() { d.down = true })
+	waitFor(t, "further call while discovery is down", func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.failed >= 3
+	})
+	if code, _, body := do(t, clientRequest(t, addr, "read", "2.5")); code != http.StatusOK || body != "1" {
+		t.Errorf("answered %d %q while discovery is down, want the old list to hold", code, body)
+	}
+	gone := listed(s1, "s1")
+	gone.State = "terminated"
+	d.change(listed(s2, "s2"))
+	d.change(gone)
+	d.set(func() { d.down = false })
+	d.told(t)
+	if code, _, body := do(t, clientRequest(t, addr, "read", "2.5")); code != http.StatusOK || body != "2" {
+		t.Errorf("answered %d %q, want 200 from the new server", code, body)
+	}
+}
+
+// With discovery down from the start the known list has to do.
+func TestKnownListServesWhileDiscoveryIsDown(t *testing.T) {
+	s := newServer(t, says(ok("1"), true))
+	d := newRegistry(t)
+	d.down = true
+	addr, _ := startNode(t, d, listed(s, "s1"))
+	if code, _, body := do(t, clientRequest(t, addr, "read", "2.5")); code != http.StatusOK || body != "1" {
+		t.Errorf("answered %d %q, want 200", code, body)
+	}
+}
+
+// A failed first attempt is retried elsewhere only where the class allows it.
+func TestResetIsRetriedOnlyWhereAllowed(t *testing.T) {
+	for class, want := range map[string]struct {
+		code   int
+		copies int64
+	}{"read": {200, 2}, "push": {200, 2}, "book": {502, 1}} {
+		var all server
+		breaks := func(_ int64, _ *http.Request, c net.Conn) bool {
+			if all.requests.Add(1) > 1 {
+				io.WriteString(c, ok("second"))
+				return true
+			}
+			return false
+		}
+		addr, _ := startNode(t, newRegistry(t, listed(newServer(t, breaks), "s1"), listed(newServer(t, breaks), "s2")))
+		if code, _, _ := do(t, clientRequest(t, addr, class, "2.9")); code != want.code {
+			t.Errorf("%s: answered %d, want %d", class, code, want.code)
+		}
+		if n := all.requests.Load(); n != want.copies {
+			t.Errorf("%s: %d attempts, want %d", class, n, want.copies)
+		}
+	}
+}
+
+// Guards rule 1 at the end: what was taken is answered, then Run returns nil.
+func TestDrainAnswersWhatWasTaken(t *testing.T) {
+	came, release := make(chan struct{}), make(chan struct{})
+	s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		came <- struct{}{}
+		<-release
+		io.WriteString(c, ok("late"))
+		return true
+	})
+	addr, stop := startNode(t, newRegistry(t, listed(s, "s1")))
+	body := make(chan string, 1)
+	go func() {
+		_, _, text := do(t, clientRequest(t, addr, "book", "2.9"))
+		body <- text
+	}()
+	<-came
+	ended := make(chan error, 1)
+	go func() { ended <- stop() }()
+	waitFor(t, "answer that closes its connection", func() bool {
+		resp, err := http.Get("http://" + addr + "/up")
+		if err != nil {
+			return true // it accepts no more already
+		}
+		resp.Body.Close()
+		return resp.Close
+	})
+	close(release)
+	if text := <-body; text != "late" {
+		t.Errorf("body %q, want the server's", text)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if c, err := net.Dial("tcp", addr); err == nil {
+		c.Close()
+		t.Error("the node still accepts")
+	}
+}
+
+// Guards the limit on descriptors at the client side: connections beyond it wait
+// for others to close and are served then.
+func TestClientConnectionsAreCapped(t *testing.T) {
+	s := newServer(t, says(ok("x"), true))
+	addr, _ := startNode(t, newRegistry(t, listed(s, "s1")))
+	http.DefaultClient.CloseIdleConnections()
+	var conns []net.Conn
+	for range (leastSockets - otherSockets) / 2 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	late, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	if err := clientRequest(t, addr, "read", "2.5").Write(late); err != nil {
+		t.Fatal(err)
+	}
+	late.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if n, err := late.Read(make([]byte, 1)); err == nil {
+		t.Errorf("%d bytes on a connection beyond the cap", n)
+	}
+	for _, c := range conns {
+		c.Close()
+	}
+	late.SetReadDeadline(time.Now().Add(patience))
+	resp, err := http.ReadResponse(bufio.NewReader(late), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.Body.Close(); resp.StatusCode != http.StatusOK {
+		t.Errorf("answered %s, want 200", resp.Status)
+	}
+}
+
+// Guards rule 4: a server that started shortly before the node did is cold too,
+// so its start must not fall to 0 or below, which means long ago.
+func TestStartBeforeTheProcessStaysKnown(t *testing.T) {
+	c := newClock()
+	if at := c.fromUnixMs(c.start.Add(-5 * time.Second).UnixMilli()); at <= 0 || at >= c.now() {
+		t.Errorf("a start 5 s before the process is %v at %v", at, c.now())
+	}
+	if at := c.fromUnixMs(0); at != 0 {
+		t.Errorf("long ago is %v, want 0", at)
+	}
+	if at := c.fromUnixMs(1); at != 0 {
+		t.Errorf("a start in 1970 is %v, want 0", at)
+	}
+}
+
+func TestKeyOfAPath(t *testing.T) {
+	if key("") != 0 || key("a/") != 0 {
+		t.Error("no last part, yet a key")
+	}
+	if a, b := key("x/7"), key("7"); a != b || a == 0 || a == key("8") {
+		t.Error("keys must follow from the last part")
+	}
+}
+
+func TestUnknownStateGetsNoNewWork(t *testing.T) {
+	for word, want := range map[string]policy.State{
+		"in_service": policy.Ready, "terminating": policy.Draining, "terminated": policy.Gone, "resting": policy.Draining,
+	} {
+		if got := state(word); got != want {
+			t.Errorf("%s: state %d, want %d", word, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/upstream_test.go
@@ -0,0 +1,319 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"eiderrock/policy"
+)
+
+const patience = 20 * time.Second // for events that are sure to come
+
+// server is a scripted server: handle gets each request that came whole, with
+// its number from 1 and the connection it came on.
+type server struct {
+	addr     string
+	requests atomic.Int64
+	conns    atomic.Int64
+}
+
+func newServer(t *testing.T, handle func(n int64, r *http.Request, c net.Conn) bool) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &server{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if body, err := io.ReadAll(r.Body); err != nil {
+						return
+					} else {
+						r.Body = io.NopCloser(strings.NewReader(string(body)))
+					}
+					if !handle(s.requests.Add(1), r, c) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+// says answers each request with the same bytes and keeps the connection, or
+// closes it behind them.
+func says(text string, keep bool) func(int64, *http.Request, net.Conn) bool {
+	return func(_ int64, _ *http.Request, c net.Conn) bool {
+		io.WriteString(c, text)
+		return keep
+	}
+}
+
+func ok(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func get() *message {
+	return &message{method: "GET", uri: "/read/k", host: "api", header: http.Header{"X-Correlation-Id": {"1"}}}
+}
+
+func push() *message {
+	return &message{method: "POST", uri: "/push/k", host: "api", body: []byte("b"),
+		header: http.Header{"X-Correlation-Id": {"2"}, "Idempotency-Key": {"i"}}}
+}
+
+func yes() bool { return true }
+
+func testUpstream(t *testing.T, most int) *upstream {
+	u := newUpstream(time.Hour, patience, most)
+	t.Cleanup(func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		for _, list := range u.idle {
+			for _, c := range list {
+				u.close(c)
+			}
+		}
+	})
+	return u
+}
+
+func TestOutcomeOfWhatComesBack(t *testing.T) {
+	spare := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+	for name, c := range map[string]struct {
+		text   string
+		keep   bool
+		status policy.Status
+		pooled int
+	}{
+		"served":                    {ok("hello"), true, policy.OK, 1},
+		"served behind interim":     {"HTTP/1.1 103 Early Hints\r\n\r\n" + ok("hello"), true, policy.OK, 1},
+		"served in chunks":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", true, policy.OK, 1},
+		"served, then closed":       {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\nhello", false, policy.OK, 0},
+		"served with more behind":   {ok("hello") + spare, true, policy.OK, 0},
+		"error":                     {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", true, policy.Error, 1},
+		"turned away":               {"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", true, policy.Full, 1},
+		"turned away as over":       {"HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", true, policy.Full, 1},
+		"unmarked 503 may have run": {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", true, policy.Error, 1},
+		"marked 500 may have run":   {"HTTP/1.1 500 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", true, policy.Error, 1},
+		"closed after the request":  {"", false, policy.Reset, 0},
+		"ends in the body":          {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", false, policy.Reset, 0},
+		"no HTTP":                   {"\x00\x01\x02 nothing\r\n\r\n", true, policy.Reset, 0},
+		"head without end":          {"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", maxHead+maxBody), true, policy.Reset, 0},
+		"body over the limit":       {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("a", maxBody+1), true, policy.Reset, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, u := newServer(t, says(c.text, c.keep)), testUpstream(t, 8)
+			p := u.roundTrip(t.Context(), s.addr, get(), time.Second, yes)
+			if p.status != c.status || len(u.idle[s.addr]) != c.pooled || u.open != c.pooled {
+				t.Errorf("status %d, %d kept, %d open; want %d, %d kept", p.status, len(u.idle[s.addr]), u.open, c.status, c.pooled)
+			}
+			if want := map[bool]string{true: "hello"}[c.status == policy.OK]; string(p.body) != want {
+				t.Errorf("body %q, want %q", p.body, want)
+			}
+			if n := s.requests.Load(); n != 1 {
+				t.Errorf("%d requests came, want 1", n)
+			}
+		})
+	}
+}
+
+func TestRefusedConnectionCouldNotConnect(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	u := testUpstream(t, 8)
+	if p := u.roundTrip(t.Context(), l.Addr().String(), push(), time.Second, yes); p.status != policy.ConnectFailed || u.open != 0 {
+		t.Errorf("status %d, %d open; want could not connect, 0", p.status, u.open)
+	}
+}
+
+// A cut-off machine says nothing: the connection never comes up. A listener
+// whose queue is full acts the same.
+func TestSilentMachineCouldNotConnect(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for full := false; !full; {
+		c, err := net.DialTimeout("tcp", addr, 300*time.Millisecond)
+		if full = err != nil; !full {
+			defer c.Close()
+		}
+	}
+	u := newUpstream(time.Hour, 200*time.Millisecond, 8)
+	if p := u.roundTrip(t.Context(), addr, push(), time.Second, yes); p.status != policy.ConnectFailed {
+		t.Errorf("status %d, want could not connect", p.status)
+	}
+}
+
+// The request's last byte could not be written: it has not run for sure.
+func TestBreakBeforeTheLastByteCouldNotConnect(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // never reads, so it closes nothing in return
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	u := testUpstream(t, 8)
+	c, err := u.get(t.Context(), l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.CloseWrite(); err != nil { // what is written from now on fails
+		t.Fatal(err)
+	}
+	u.put(c, true)
+	if p := u.roundTrip(t.Context(), l.Addr().String(), push(), time.Second, yes); p.status != policy.ConnectFailed || u.open != 0 {
+		t.Errorf("status %d, %d open; want could not connect, 0", p.status, u.open)
+	}
+}
+
+// Guards against a hidden resend: net/http's Transport sends a GET and a request
+// with Idempotency-Key again by itself when a kept connection dies under it.
+func TestNoHiddenResendOnAStaleConnection(t *testing.T) {
+	for name, m := range map[string]*message{"GET": get(), "keyed POST": push()} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t, func(n int64, _ *http.Request, c net.Conn) bool {
+				if n == 1 {
+					io.WriteString(c, ok("first"))
+				}
+				return n == 1 // the second finds the connection closing
+			})
+			u := testUpstream(t, 8)
+			if p := u.roundTrip(t.Context(), s.addr, m, time.Second, yes); p.status != policy.OK {
+				t.Fatalf("status %d, want served", p.status)
+			}
+			if p := u.roundTrip(t.Context(), s.addr, m, time.Second, yes); p.status != policy.Reset {
+				t.Errorf("status %d, want reset", p.status)
+			}
+			if n, c := s.requests.Load(), s.conns.Load(); n != 2 || c != 1 {
+				t.Errorf("%d requests on %d connections, want 2 on 1", n, c)
+			}
+		})
+	}
+}
+
+// Guards against sending on a connection that the server has closed meanwhile: a
+// close that was seen in time costs no attempt.
+func TestConnectionThatTheServerClosedIsNotUsed(t *testing.T) {
+	s, u := newServer(t, says(ok("x"), false)), testUpstream(t, 8)
+	for range 2 {
+		if p := u.roundTrip(t.Context(), s.addr, push(), time.Second, yes); p.status != policy.OK {
+			t.Fatalf("status %d, want served", p.status)
+		}
+		waitFor(t, "the server's close to be noticed", func() bool {
+			u.sweep()
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			return u.open == 0 && len(u.idle) == 0
+		})
+	}
+	if n := s.requests.Load(); n != 2 {
+		t.Errorf("%d requests came, want 2", n)
+	}
+}
+
+func TestOldIdleConnectionIsRetired(t *testing.T) {
+	s, u := newServer(t, says(ok("x"), true)), testUpstream(t, 8)
+	for range 2 {
+		u.roundTrip(t.Context(), s.addr, get(), time.Second, yes)
+		u.mu.Lock()
+		for _, c := range u.idle[s.addr] {
+			c.idleSince = c.idleSince.Add(-u.idleFor)
+		}
+		u.mu.Unlock()
+	}
+	if n := s.conns.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
+// Guards against an attempt going out after the loop gave it up.
+func TestNothingIsWrittenOnceGivenUp(t *testing.T) {
+	s, u := newServer(t, says(ok("x"), true)), testUpstream(t, 8)
+	if p := u.roundTrip(t.Context(), s.addr, push(), time.Second, func() bool { return false }); p.status != policy.Moot {
+		t.Errorf("status %d, want never sent", p.status)
+	}
+	// The connection is as good as new; the next request is the first on it.
+	if p := u.roundTrip(t.Context(), s.addr, push(), time.Second, yes); p.status != policy.OK {
+		t.Errorf("status %d, want served", p.status)
+	}
+	if n, c := s.requests.Load(), s.conns.Load(); n != 1 || c != 1 {
+		t.Errorf("%d requests on %d connections, want 1 on 1", n, c)
+	}
+}
+
+// Guards the limit on descriptors: an idle connection makes room, a busy one doesn't.
+func TestConnectionCap(t *testing.T) {
+	hold := make(chan struct{})
+	busy := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		<-hold
+		io.WriteString(c, ok("x"))
+		return true
+	})
+	quick := newServer(t, says(ok("x"), true))
+	u := testUpstream(t, 1)
+	if p := u.roundTrip(t.Context(), quick.addr, get(), time.Second, yes); p.status != policy.OK {
+		t.Fatalf("status %d, want served", p.status)
+	}
+	done := make(chan reply, 1)
+	go func() { done <- u.roundTrip(context.Background(), busy.addr, get(), time.Second, yes) }()
+	waitFor(t, "the request at the busy server", func() bool { return busy.requests.Load() == 1 })
+	if p := u.roundTrip(t.Context(), quick.addr, get(), time.Second, yes); p.status != policy.Moot {
+		t.Errorf("status %d beyond the cap, want never sent", p.status)
+	}
+	close(hold)
+	if p := <-done; p.status != policy.OK {
+		t.Errorf("status %d, want served in the evicted one's place", p.status)
+	}
+	if u.open != 1 {
+		t.Errorf("%d open, want 1", u.open)
+	}
+}
+
+// waitFor waits for something that must come about, however slow the machine.
+func waitFor(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no %s", what)
+		}
+	}
+}
