Keep clients within the descriptors without losing their requests

Checked: the node was idle (0.13 CPU at most) and held 211 of 256 descriptors; without the limit 417 clients were connected, the cap was 120. To blame: the half-and-half split and netutil.LimitListener alone in node.go: beyond the cap connections wait in the kernel, which counts as taken. Ruled out: CPU, memory (11 MB), the upstream cap (attempts beyond its 80 are moot and retried).

Now clients.go gives clients two thirds, refuses at once beyond its cap, and evicts idle connections. Answers now close crowded connections, and only those idle for 1 s are evicted.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -21,16 +21,16 @@
 type front struct {
 	loop     *loop
 	site     wire.Site
+	clients  *clients
+	ready    func() bool
 	classes  map[string]int
 	tenants  map[string]int
-	ready    func() bool
 	draining atomic.Bool // answers close their connections
-	crowded  func() bool // so do they while few descriptors are left
 }
 
-func newFront(l *loop, site wire.Site, ready, crowded func() bool) *front {
+func newFront(l *loop, site wire.Site, g *clients, ready func() bool) *front {
 	f := &front{
-		loop: l, site: site, ready: ready, crowded: crowded,
+		loop: l, site: site, clients: g, ready: ready,
 		classes: map[string]int{}, tenants: map[string]int{},
 	}
 	for i, name := range site.Classes {
@@ -56,7 +56,11 @@
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := f.loop.clock.now()
-	if f.draining.Load() || f.crowded() {
+	place := f.clients.admit(r.Context())
+	if place.evicted {
+		panic(http.ErrAbortHandler)
+	}
+	if f.draining.Load() || place.crowded {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/up" {
@@ -75,6 +79,10 @@
 		http.Error(w, err.Error(), code)
 		return
 	}
+	if place.full { // nothing was sent for it, so that the promise of a refusal holds
+		write(w, answer{kind: refused, retryAfter: f.site.Settings.Limits.MaxRetryAfter})
+		return
+	}
 	// The request is whole; the time limit on reading it must not end the wait.
 	// A connection that can't take this back is broken and shows as such.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,9 +29,10 @@
 	// After that what was taken gets its answer, and a little for the last bytes.
 	drainSlack = 100 * time.Millisecond
 
-	headTimeout = 5 * time.Second // a client may take so long over a head or a body
-	idleTimeout = 2 * time.Minute
-	maxHeader   = 16 << 10
+	headTimeout  = 5 * time.Second  // a client may take so long over a head or a body
+	writeTimeout = 15 * time.Second // from the head on: over any deadline
+	idleTimeout  = 2 * time.Minute
+	maxHeader    = 16 << 10
 )
 
 // Run serves until ctx ends, then drains: it goes on accepting for a while,
@@ -51,8 +52,11 @@
 	defer listener.Close()
 	c := newClock()
 	set := cfg.Site.Settings
-	each := (cfg.Sockets - otherSockets) / 2
-	up := newUpstream(cfg.Site.ConnIdle, cfg.Site.ConnectTimeout, each)
+	// A request in work takes one descriptor at each side, one that is held only
+	// the client's.
+	servers := (cfg.Sockets - otherSockets) / 3
+	clients := newClients(cfg.Sockets - otherSockets - servers)
+	up := newUpstream(cfg.Site.ConnIdle, cfg.Site.ConnectTimeout, servers)
 	disco := newDiscovery(cfg.Discovery, set.ListAsked, cfg.Site.Zones, c, log)
 	l, err := newLoop(set, cfg.Seed, c, up, disco.watch)
 	if err != nil {
@@ -87,22 +91,15 @@
 		}
 	}()
 
-	var clients atomic.Int64
-	f := newFront(l, cfg.Site, ready.Load, func() bool { return clients.Load() > int64(each)*3/4 })
+	f := newFront(l, cfg.Site, clients, ready.Load)
 	server := http.Server{
-		Handler: f, ReadHeaderTimeout: headTimeout, ReadTimeout: headTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeader, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-		ConnState: func(_ net.Conn, s http.ConnState) {
-			switch s {
-			case http.StateNew:
-				clients.Add(1)
-			case http.StateClosed, http.StateHijacked:
-				clients.Add(-1)
-			}
-		},
+		Handler: f, ReadHeaderTimeout: headTimeout, ReadTimeout: headTimeout,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ConnContext: clients.context, ConnState: clients.state,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(netutil.LimitListener(listener, each)) }()
+	go func() { ended <- server.Serve(netutil.LimitListener(listener, clients.most+clients.spare)) }()
 	select {
 	case err := <-ended:
 		return fmt.Errorf("serve: %w", err)
