Decide on closing a client's connection when its answer is there

Seen by breaking guards: no test noticed when answers of a draining node kept their connections. Reading front.go for why: the header was set when a request came, so answers of requests that were open at SIGTERM or before the node got crowded kept theirs, and the client's next request could cross the close at the end of the drain. It is set with the answer now; tests for both sides.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -88,11 +88,10 @@
 	c.conn.Close()
 }
 
-// verdict tells what a request may expect of its connection.
+// verdict tells what is to become of a request.
 type verdict struct {
 	full    bool // no descriptors: refuse it
-	crowded bool // few are left: close the connection behind the answer
-	evicted bool // closed while the request came in: the client sends it again, so it must not be worked on
+	evicted bool // its connection was closed while it came in: the client sends it again, so drop it
 }
 
 // admit is asked for each request.
@@ -100,6 +99,12 @@
 	c, _ := ctx.Value(clientKey{}).(*client)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	open := len(g.conns)
-	return verdict{full: open > g.most, crowded: open > g.most*3/4, evicted: c != nil && c.evicted}
+	return verdict{full: len(g.conns) > g.most, evicted: c != nil && c.evicted}
+}
+
+// crowded tells that few descriptors are left.
+func (g *clients) crowded() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns) > g.most*3/4
 }
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -60,10 +60,8 @@
 	if place.evicted {
 		panic(http.ErrAbortHandler)
 	}
-	if f.draining.Load() || place.crowded {
-		w.Header().Set("Connection", "close")
-	}
 	if r.URL.Path == "/up" {
+		f.close(w)
 		if !f.ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
@@ -80,6 +78,7 @@
 		return
 	}
 	if place.full { // nothing was sent for it, so that the promise of a refusal holds
+		w.Header().Set("Connection", "close")
 		write(w, answer{kind: refused, retryAfter: f.site.Settings.Limits.MaxRetryAfter})
 		return
 	}
@@ -95,6 +94,7 @@
 	}
 	select {
 	case a := <-answers:
+		f.close(w)
 		write(w, a)
 	case <-r.Context().Done(): // the client went away
 		f.loop.post(func() { f.loop.left(taken) })
@@ -103,6 +103,15 @@
 	}
 }
 
+// close ends the connection behind the answer while the node drains or few
+// descriptors are left: nothing can cross such a close. It is asked when the answer
+// is there, as much may have changed since the request came.
+func (f *front) close(w http.ResponseWriter) {
+	if f.draining.Load() || f.clients.crowded() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // parse reads a request whole. What it can't make sense of is an error at once.
 func (f *front) parse(w http.ResponseWriter, r *http.Request, came time.Duration) (q policy.Request, m *message, err error) {
 	one := func(name string) string {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -414,25 +414,35 @@
 		return true
 	})
 	addr, stop := startNode(t, newRegistry(t, listed(s, "s1")))
-	body := make(chan string, 1)
+	type result struct {
+		code   int
+		body   string
+		closes bool
+	}
+	done := make(chan result, 1)
 	go func() {
-		_, _, text := do(t, clientRequest(t, addr, "book", "2.9"))
-		body <- text
+		resp, err := http.DefaultClient.Do(clientRequest(t, addr, "book", "2.9"))
+		if err != nil {
+			done <- result{body: err.Error()}
+			return
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		done <- result{resp.StatusCode, string(text), resp.Close}
 	}()
 	<-came
 	ended := make(chan error, 1)
 	go func() { ended <- stop() }()
-	waitFor(t, "answer that closes its connection", func() bool {
-		resp, err := http.Get("http://" + addr + "/up")
-		if err != nil {
-			return true // it accepts no more already
+	waitFor(t, "end of accepting", func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			c.Close()
 		}
-		resp.Body.Close()
-		return resp.Close
+		return err != nil
 	})
 	close(release)
-	if text := <-body; text != "late" {
-		t.Errorf("body %q, want the server's", text)
+	if got := <-done; got != (result{http.StatusOK, "late", true}) {
+		t.Errorf("answered %+v, want the server's body and the connection closed behind it", got)
 	}
 	if err := <-ended; err != nil {
 		t.Error(err)
@@ -577,3 +587,17 @@
 		}
 	}
 }
+
+// Guards against clients that go on using a draining node's connections until
+// they are cut: answers close them from SIGTERM on.
+func TestDrainingFrontClosesBehindAnswers(t *testing.T) {
+	f := newFront(&loop{clock: newClock()}, wire.Site{}, newClients(8), func() bool { return true })
+	for _, draining := range []bool{false, true} {
+		f.draining.Store(draining)
+		w := httptest.NewRecorder()
+		f.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/up", nil))
+		if closes := w.Header().Get("Connection") == "close"; w.Code != http.StatusOK || closes != draining {
+			t.Errorf("draining %v: answered %d, closes %v", draining, w.Code, closes)
+		}
+	}
+}
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -85,6 +85,7 @@
 		header: http.Header{"X-Correlation-Id": {"2"}, "Idempotency-Key": {"i"}}}
 }
 
+// yes lets an attempt be written.
 func yes() bool { return true }
 
 func testUpstream(t *testing.T, most int) *upstream {
