--- a/cmd/otterstep/main.go
+++ b/cmd/otterstep/main.go
@@ -11,7 +11,7 @@
 	"os/signal"
 	"syscall"
 
-	"eiderrock/internal/node"
+	"otterstep/internal/node"
 )
 
 func main() {
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"runtime/debug"
 
-	"eiderrock/internal/wire"
-	"eiderrock/policy"
+	"otterstep/internal/wire"
+	"otterstep/policy"
 )
 
 func main() {
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
-	"eiderrock/internal/wire"
-	"eiderrock/policy"
+	"otterstep/internal/wire"
+	"otterstep/policy"
 )
 
 const settings = `{"Classes": [{"DeadlineMs": 1000, "Effect": "pure"}], "Limits": {"MaxAttempts": 2}}`
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,7 +8,7 @@
 	"os"
 	"strconv"
 
-	"eiderrock/internal/wire"
+	"otterstep/internal/wire"
 )
 
 // Config is what a node is told at its start.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -14,7 +14,7 @@
 	"strconv"
 	"time"
 
-	"eiderrock/policy"
+	"otterstep/policy"
 )
 
 const (
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -12,8 +12,8 @@
 	"sync/atomic"
 	"time"
 
-	"eiderrock/internal/wire"
-	"eiderrock/policy"
+	"otterstep/internal/wire"
+	"otterstep/policy"
 )
 
 // front is the client side: it turns requests into events of the loop and the
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"eiderrock/policy"
+	"otterstep/policy"
 )
 
 // clockOrigin is what the module's clock shows when the process starts. The
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,7 +15,7 @@
 
 	"golang.org/x/net/netutil"
 
-	"eiderrock/policy"
+	"otterstep/policy"
 )
 
 const (
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,8 +16,8 @@
 	"testing"
 	"time"
 
-	"eiderrock/internal/wire"
-	"eiderrock/policy"
+	"otterstep/internal/wire"
+	"otterstep/policy"
 )
 
 const settings = `{
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"eiderrock/policy"
+	"otterstep/policy"
 )
 
 const (
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"eiderrock/policy"
+	"otterstep/policy"
 )
 
 const patience = 20 * time.Second // for events that are sure to come
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"eiderrock/policy"
+	"otterstep/policy"
 )
 
 // ms reads a time in milliseconds; it stays at its default where a key is absent.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"math"
 	"time"
 
-	"eiderrock/policy"
+	"otterstep/policy"
 )
 
 // The sizes of a frame's parts, in bytes.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"eiderrock/policy"
+	"otterstep/policy"
 )
 
 func unhex(t testing.TB, text string) []byte {
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"eiderrock/policy"
+	"otterstep/policy"
 )
 
 // printer is a Host that only tells what it was asked to do.
