Reload on SIGHUP, turn bad clients away and read servers' answers strictly

To blame and mended: - main.go: SIGHUP was not caught. reload.go reads and checks the file as at start; discovery.go starts over at the new address and breaks off the call under way. - front.go: any Transfer-Encoding is 411, lengths are looked at before reading, large bodies have a budget, ids are taken once (recent.go). - clients.go: silent connections are evicted first. Eviction now ends the wait for data instead of closing, so that data which has come wins. - upstream.go: answer.go reads strictly, and an answer that has begun must go on within 300 ms; connections rest 10 ms before reuse, so that late bytes show in quiet() and are never read as the next answer; the pool goes by server and start. - descriptors: 9 in 20 for servers instead of a third.

--- a/cmd/otterstep/main.go
+++ b/cmd/otterstep/main.go
@@ -1,5 +1,6 @@
 // Command otterstep is one load-balancing node. Its configuration is the file
-// that PROXY_CONFIG names; SIGTERM and SIGINT make it drain and exit with 0.
+// that PROXY_CONFIG names; SIGHUP makes it read that file again, SIGTERM and SIGINT
+// make it drain and exit with 0.
 package main
 
 import (
@@ -24,6 +25,10 @@
 }
 
 func run(ctx context.Context) error {
+	// From the first moment on, as an uncaught SIGHUP ends the process. One signal
+	// that waits stands for all: the file is read after it.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	path := os.Getenv("PROXY_CONFIG")
 	if path == "" {
 		return errors.New("configuration: PROXY_CONFIG names no file")
@@ -32,5 +37,5 @@
 	if err != nil {
 		return err
 	}
-	return node.Run(ctx, cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	return node.Run(ctx, cfg, node.Reloads{Path: path, Signals: hangups}, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -3,108 +3,198 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
+
+	"golang.org/x/net/netutil"
 )
 
-// A connection that was idle for less than this is one that a client goes
-// through in turn: a request may be on its way already, and would be lost.
-const evictAfter = time.Second
+const (
+	// A connection that was idle for less than this is one that a client goes
+	// through in turn: a request may be on its way already, and would be lost.
+	evictAfter = time.Second
+	// Clients that connect to ask do so at once: their first head was seen to come
+	// within 2 ms. One that has sent none for so long gives way when room is needed.
+	silentAfter = 50 * time.Millisecond
+	evictEvery  = 25 * time.Millisecond
+)
 
 // clients keeps the connections of clients within the node's descriptors. A
 // connection that is not accepted would wait in the kernel, where its request
 // counts as taken and goes unanswered. So while few are left, answers close
-// their connections; beyond most the longest idle one is closed, and if that
-// won't do, requests are refused at once. More than most+spare are never accepted.
+// their connections; beyond most those go that have sent no whole head yet, then
+// the longest idle ones. If that won't do, because so many requests are open,
+// further ones are refused at once. More than most+spare are never accepted.
 type clients struct {
 	most, spare int
 
-	mu    sync.Mutex
-	conns map[net.Conn]*client
-	idle  list.List // of *client, the longest idle first
+	mu      sync.Mutex
+	conns   map[*client]struct{}
+	silent  list.List // of *client with no head yet, the oldest first
+	idle    list.List // of *client, the longest idle first
+	leaving int       // evicted and not closed yet
 }
 
+// client is a client's connection. Closing one between two requests may cross the
+// next request, which then has reached the node's machine and gets no answer. So it
+// is never closed from outside: eviction ends the wait for data instead, and data
+// that has come by then wins.
 type client struct {
-	conn    net.Conn
-	idle    *list.Element // nil while a request is open or none came yet
-	since   time.Time     // when it became idle
-	evicted bool
+	net.Conn
+	group   *clients
+	in      *list.List // silent or idle; nil while a request is open
+	place   *list.Element
+	since   time.Time // when it went there
+	leaving bool      // evicted, unless data comes first
 }
 
 func newClients(descriptors int) *clients {
 	spare := descriptors / 8
-	return &clients{most: descriptors - spare, spare: spare, conns: map[net.Conn]*client{}}
+	return &clients{most: descriptors - spare, spare: spare, conns: map[*client]struct{}{}}
 }
 
-type clientKey struct{}
+// clientListener accepts clients.
+type clientListener struct {
+	net.Listener
+	group *clients
+}
 
-// context is http.Server's ConnContext: it lets a request find its connection.
-func (g *clients) context(ctx context.Context, conn net.Conn) context.Context {
-	c := &client{conn: conn}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.conns[conn] = c
-	return context.WithValue(ctx, clientKey{}, c)
+func (g *clients) listener(l net.Listener) net.Listener {
+	return clientListener{netutil.LimitListener(l, g.most+g.spare), g}
+}
+
+func (l clientListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &client{Conn: conn, group: l.group}, nil
+}
+
+var longAgo = time.Unix(1, 0)
+
+// Read looks once more when the wait for a request is over, be it by eviction or by
+// net/http's time limit for idle connections: a node that gets little CPU may have
+// been stopped between that limit and here for long enough.
+func (c *client) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.waits() {
+		c.Conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+		n, err = c.Conn.Read(b)
+	}
+	if n > 0 {
+		c.stay()
+	}
+	return n, err
+}
+
+// SetReadDeadline is net/http's; it does not undo an eviction.
+func (c *client) SetReadDeadline(at time.Time) error {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	if c.leaving {
+		at = longAgo
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+func (c *client) waits() bool {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	return c.in != nil || c.leaving
+}
+
+// stay undoes an eviction.
+func (c *client) stay() {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	if c.leaving {
+		c.leaving = false
+		c.group.leaving--
+		c.Conn.SetReadDeadline(time.Now().Add(readTimeout))
+	}
 }
 
 // state is http.Server's ConnState.
 func (g *clients) state(conn net.Conn, s http.ConnState) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := g.conns[conn]
-	if c == nil {
-		return // evicted
-	}
-	if c.idle != nil {
-		g.idle.Remove(c.idle)
-		c.idle = nil
-	}
+	c := conn.(*client)
+	c.move(nil)
 	switch s {
+	case http.StateNew:
+		g.conns[c] = struct{}{}
+		c.move(&g.silent)
 	case http.StateIdle:
-		c.idle, c.since = g.idle.PushBack(c), time.Now()
+		c.move(&g.idle)
 	case http.StateClosed, http.StateHijacked:
-		delete(g.conns, conn)
+		delete(g.conns, c)
+		if c.leaving {
+			c.leaving = false
+			g.leaving--
+		}
+	}
+	g.evict()
+}
+
+// move puts a connection into a list, or into none.
+func (c *client) move(to *list.List) {
+	if c.in != nil {
+		c.in.Remove(c.place)
+	}
+	if c.in = to; to != nil {
+		c.place, c.since = to.PushBack(c), time.Now()
 	}
-	if len(g.conns) > g.most {
+}
+
+// run evicts as connections come of age, when no change of state would.
+func (g *clients) run(ctx context.Context) {
+	for every := time.Tick(evictEvery); ctx.Err() == nil; <-every {
+		g.mu.Lock()
 		g.evict()
+		g.mu.Unlock()
 	}
 }
 
-// evict closes the longest idle connection if that is safe; it needs the lock.
+// count gives the connections that stay; it needs the lock.
+func (g *clients) count() int { return len(g.conns) - g.leaving }
+
+// evict makes room beyond most as far as that is safe; it needs the lock.
 func (g *clients) evict() {
-	oldest := g.idle.Front()
+	for g.count() > g.most && (g.evictFrom(&g.silent, silentAfter) || g.evictFrom(&g.idle, evictAfter)) {
+	}
+}
+
+func (g *clients) evictFrom(l *list.List, after time.Duration) bool {
+	oldest := l.Front()
 	if oldest == nil {
-		return
+		return false
 	}
 	c := oldest.Value.(*client)
-	if time.Since(c.since) < evictAfter {
-		return
+	if time.Since(c.since) < after {
+		return false
 	}
-	g.idle.Remove(oldest)
-	c.idle, c.evicted = nil, true
-	delete(g.conns, c.conn)
-	c.conn.Close()
-}
-
-// verdict tells what is to become of a request.
-type verdict struct {
-	full    bool // no descriptors: refuse it
-	evicted bool // its connection was closed while it came in: the client sends it again, so drop it
+	c.move(nil)
+	c.leaving = true
+	g.leaving++
+	c.Conn.SetReadDeadline(longAgo)
+	return true
 }
 
-// admit is asked for each request.
-func (g *clients) admit(ctx context.Context) verdict {
-	c, _ := ctx.Value(clientKey{}).(*client)
+// full tells that open requests alone take up all there is.
+func (g *clients) full() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return verdict{full: len(g.conns) > g.most, evicted: c != nil && c.evicted}
+	return g.count()-g.silent.Len()-g.idle.Len() > g.most
 }
 
 // crowded tells that few descriptors are left.
 func (g *clients) crowded() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.conns) > g.most*3/4
+	return g.count() > g.most*3/4
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -65,5 +65,8 @@
 	if c.Site, err = wire.ParseSite(file.Settings); err != nil {
 		return bad("settings", err)
 	}
+	if err := c.Site.Settings.Check(); err != nil {
+		return bad("settings", err)
+	}
 	return c, nil
 }
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -20,9 +20,10 @@
 const (
 	watchWait    = 10 * time.Second // a watch answers after this at the latest
 	watchGrace   = 1500 * time.Millisecond
-	listWait     = 2 * time.Second
+	listWait     = time.Second     // the agent on this machine answers at once
+	listWaitAsk  = 2 * time.Second // one service for all works through calls in turn
 	backoffFirst = 50 * time.Millisecond
-	backoffMost  = 800 * time.Millisecond
+	backoffMost  = 400 * time.Millisecond
 	maxList      = 4 << 20
 )
 
@@ -57,15 +58,17 @@
 	// failed and the known list has to do.
 	first func()
 
-	client http.Client
-	wanted chan struct{} // the module wants a watch
-	rev    int64
-	listed bool // rev is discovery's own
+	client  http.Client
+	wanted  chan struct{} // the module wants a watch
+	moves   chan string   // new addresses of discovery
+	started bool          // first was called
+	rev     int64
+	listed  bool // rev is discovery's own
 }
 
 func newDiscovery(addr string, asked bool, zones []string, c clock, log *slog.Logger) *discovery {
 	return &discovery{
-		addr: addr, asked: asked, zones: zones, clock: c, log: log, wanted: make(chan struct{}, 1),
+		addr: addr, asked: asked, zones: zones, clock: c, log: log, wanted: make(chan struct{}, 1), moves: make(chan string),
 		client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 }
@@ -78,17 +81,47 @@
 	}
 }
 
-// run follows the list until ctx ends.
+// run follows the list until ctx ends, and at each move starts over at the new
+// address: the call under way is broken off, as a watch would go on for seconds and
+// hear nothing more, and the version is forgotten, as another service counts its own.
 func (d *discovery) run(ctx context.Context) {
-	defer d.client.CloseIdleConnections()
-	backoff, down, started := backoffFirst, false, false
+	for ctx.Err() == nil {
+		here, leave := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			d.follow(here)
+		}()
+		var next string
+		select {
+		case next = <-d.moves:
+		case <-ctx.Done():
+		}
+		leave()
+		<-ended
+		d.client.CloseIdleConnections()
+		d.addr, d.rev, d.listed = next, 0, false
+	}
+}
+
+// move makes run go on at another address.
+func (d *discovery) move(ctx context.Context, addr string) {
+	select {
+	case d.moves <- addr:
+	case <-ctx.Done():
+	}
+}
+
+// follow follows the list at one address until ctx ends.
+func (d *discovery) follow(ctx context.Context) {
+	backoff, down := backoffFirst, false
 	for ctx.Err() == nil {
 		err := d.call(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if !started {
-			started = true
+		if !d.started {
+			d.started = true
 			d.first()
 		}
 		if err == nil {
@@ -125,6 +158,9 @@
 func (d *discovery) call(ctx context.Context) error {
 	address := url.URL{Scheme: "http", Host: d.addr, Path: "/discovery/hosts"}
 	wait := listWait
+	if d.asked {
+		wait = listWaitAsk
+	}
 	if d.listed {
 		wait = watchWait + watchGrace
 		address.RawQuery = "since=" + strconv.FormatInt(d.rev, 10) +
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"hash/fnv"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,11 +25,31 @@
 	classes  map[string]int
 	tenants  map[string]int
 	draining atomic.Bool // answers close their connections
+	bodies   budget      // memory of clients' larger bodies
 }
 
-func newFront(l *loop, site wire.Site, g *clients, ready func() bool) *front {
+// A small body fits into what a connection takes anyway.
+const smallBody = 4 << 10
+
+// budget bounds a sum of bytes.
+type budget struct {
+	most int64
+	held atomic.Int64
+}
+
+func (b *budget) take(n int64) bool {
+	if b.held.Add(n) > b.most {
+		b.held.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (b *budget) giveBack(n int64) { b.held.Add(-n) }
+
+func newFront(l *loop, site wire.Site, g *clients, bodies int64, ready func() bool) *front {
 	f := &front{
-		loop: l, site: site, clients: g, ready: ready,
+		loop: l, site: site, clients: g, ready: ready, bodies: budget{most: bodies},
 		classes: map[string]int{}, tenants: map[string]int{},
 	}
 	for i, name := range site.Classes {
@@ -56,10 +75,7 @@
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	came := f.loop.clock.now()
-	place := f.clients.admit(r.Context())
-	if place.evicted {
-		panic(http.ErrAbortHandler)
-	}
+	full := f.clients.full()
 	if r.URL.Path == "/up" {
 		f.close(w)
 		if !f.ready() {
@@ -67,21 +83,26 @@
 		}
 		return
 	}
-	q, m, err := f.parse(w, r, came)
-	if err != nil {
-		code := http.StatusBadRequest
-		if bad := (*clientError)(nil); errors.As(err, &bad) {
-			code = bad.code
+	q, m, err := f.parse(r, came)
+	if err == nil && r.ContentLength > smallBody {
+		if !f.bodies.take(r.ContentLength) {
+			full = true
+		} else {
+			defer f.bodies.giveBack(r.ContentLength)
 		}
-		w.Header().Set("Connection", "close") // what follows on it can't be trusted
-		http.Error(w, err.Error(), code)
-		return
 	}
-	if place.full { // nothing was sent for it, so that the promise of a refusal holds
+	if err == nil && full { // nothing was sent for it, so that the promise of a refusal holds
 		w.Header().Set("Connection", "close")
 		write(w, answer{kind: refused, retryAfter: f.site.Settings.Limits.MaxRetryAfter})
 		return
 	}
+	if err == nil {
+		m.body, err = readRequestBody(r)
+	}
+	if err != nil {
+		f.turnDown(w, err)
+		return
+	}
 	// The request is whole; the time limit on reading it must not end the wait.
 	// A connection that can't take this back is broken and shows as such.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
@@ -94,6 +115,10 @@
 	}
 	select {
 	case a := <-answers:
+		if a.kind == duplicate {
+			f.turnDown(w, &clientError{http.StatusConflict, "X-Correlation-Id: in use"})
+			return
+		}
 		f.close(w)
 		write(w, a)
 	case <-r.Context().Done(): // the client went away
@@ -112,8 +137,35 @@
 	}
 }
 
-// parse reads a request whole. What it can't make sense of is an error at once.
-func (f *front) parse(w http.ResponseWriter, r *http.Request, came time.Duration) (q policy.Request, m *message, err error) {
+// turnDown answers what can't be used, and ends the connection: what follows on it
+// can't be trusted. While descriptors are few it does so at once, where net/http
+// would linger for half a second so that a client still sending sees the answer.
+func (f *front) turnDown(w http.ResponseWriter, err error) {
+	code := http.StatusBadRequest
+	if bad := (*clientError)(nil); errors.As(err, &bad) {
+		code = bad.code
+	}
+	text := err.Error() + "\n"
+	h := w.Header()
+	h.Set("Connection", "close")
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(text))) // else the flush cuts off a last chunk
+	w.WriteHeader(code)
+	_, _ = io.WriteString(w, text)
+	if f.clients.crowded() {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// parse looks at all but the body. What it can't make sense of is an error at once.
+func (f *front) parse(r *http.Request, came time.Duration) (q policy.Request, m *message, err error) {
+	if len(r.TransferEncoding) > 0 {
+		// net/http has dropped a Content-Length beside it by now. Two lengths may
+		// hide a second request in the first one's body, so none of these passes;
+		// clients send a length.
+		return q, nil, &clientError{http.StatusLengthRequired, "Transfer-Encoding is not taken, send a Content-Length"}
+	}
 	one := func(name string) string {
 		if values := r.Header[name]; len(values) > 1 && err == nil {
 			err = badRequest("%s: given twice", name)
@@ -159,15 +211,11 @@
 	case method == http.MethodGet && r.ContentLength != 0:
 		return q, nil, badRequest("a GET has no body here")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	if err != nil {
-		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-			return q, nil, &clientError{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
-		}
-		return q, nil, badRequest("body: %v", err)
+	if r.ContentLength > maxBody {
+		return q, nil, &clientError{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
 	}
 	m = &message{
-		method: r.Method, uri: r.RequestURI, host: r.Host, body: body,
+		method: r.Method, uri: r.RequestURI, host: r.Host,
 		header: make(http.Header, len(forwarded)), deadline: came + min(left, rules.Deadline),
 	}
 	for _, name := range forwarded {
@@ -178,13 +226,23 @@
 	return q, m, nil
 }
 
-// number reads a time given as a decimal number of units.
+// readRequestBody reads a body of a length that was found fit.
+func readRequestBody(r *http.Request) ([]byte, error) {
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return nil, &clientError{http.StatusRequestTimeout, "body: shorter than its length"}
+	}
+	return body, nil
+}
+
+// number reads a time given as a decimal number of units; one of over an hour is
+// no time that a client waits.
 func number(name, text string, unit time.Duration) (time.Duration, error) {
 	v, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(v >= 0) || math.IsInf(v, 1) {
+	if err != nil || !(v >= 0 && v <= float64(time.Hour/unit)) {
 		return 0, badRequest("%s: not a time: %q", name, text)
 	}
-	return time.Duration(min(v, float64(time.Hour/unit)) * float64(unit)), nil
+	return time.Duration(v * float64(unit)), nil
 }
 
 // key hashes the last part of a path behind its class; 0 where there is none.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"fmt"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -45,7 +46,8 @@
 	served answerKind = iota
 	refused
 	failed
-	overdue // failed because the time was up
+	overdue   // failed because the time was up
+	duplicate // its id is that of another request
 )
 
 // answer is the one final answer of a request.
@@ -123,8 +125,9 @@
 	balancer *policy.Balancer
 	now      time.Duration
 	requests map[policy.RequestID]*request
-	servers  map[policy.ServerID]string // endpoints
+	servers  map[policy.ServerID]backend
 	lastID   policy.RequestID
+	ids      recentIDs
 	timers   timerHeap
 	queue    []func()
 }
@@ -133,7 +136,8 @@
 	l := &loop{
 		clock: c, upstream: up, watch: watch,
 		events: make(chan func(), 256), stopped: make(chan struct{}),
-		requests: map[policy.RequestID]*request{}, servers: map[policy.ServerID]string{},
+		ids:      newRecentIDs(set.Classes),
+		requests: map[policy.RequestID]*request{}, servers: map[policy.ServerID]backend{},
 	}
 	var err error
 	if l.balancer, err = policy.New(set, seed, l); err != nil {
@@ -203,17 +207,26 @@
 
 // ---- events
 
-// members takes a list of servers or changes to it.
+// members takes a list of servers or changes to it. Connections to a server that
+// is gone, or that is no longer the process or at the address that it was, are
+// closed; a late word on an old server does not touch a new one at its address.
 func (l *loop) members(kind policy.ListKind, entries []policy.Entry, endpoints []string) {
+	old := l.servers
 	if kind == policy.ListFull || kind == policy.ListCached {
-		clear(l.servers)
+		l.servers = make(map[policy.ServerID]backend, len(entries))
+	} else {
+		old = maps.Clone(old)
 	}
 	for i, e := range entries {
 		if e.State == policy.Gone {
-			l.upstream.drop(l.servers[e.Server])
 			delete(l.servers, e.Server)
 		} else {
-			l.servers[e.Server] = endpoints[i]
+			l.servers[e.Server] = backend{e.Server, endpoints[i], e.Started}
+		}
+	}
+	for id, b := range old {
+		if l.servers[id] != b {
+			l.upstream.drop(b)
 		}
 	}
 	l.balancer.Members(l.now, kind, entries)
@@ -221,6 +234,11 @@
 
 // submit takes a request in. The answer comes on answers, exactly once.
 func (l *loop) submit(q policy.Request, m *message, answers chan<- answer) *request {
+	if !l.ids.add(l.now, m.header.Get("X-Correlation-Id")) {
+		r := &request{answers: answers}
+		l.answer(r, answer{kind: duplicate})
+		return r
+	}
 	for l.lastID++; l.requests[l.lastID] != nil; l.lastID++ { // ids wrap around in the end
 	}
 	left := max(0, m.deadline-l.now)
@@ -269,8 +287,14 @@
 	if a.over {
 		return
 	}
-	if p.status == policy.OK && !a.request.answered {
+	switch {
+	case p.status == policy.OK:
 		l.answer(a.request, answer{kind: served, reply: p})
+	case p.rejected:
+		// The request is at fault, and would be at any server: nothing to hold
+		// against this one, and nothing to try again.
+		l.answer(a.request, answer{kind: failed})
+		p.status = policy.Cancelled
 	}
 	l.outcome(a, p.status, at)
 }
@@ -327,7 +351,7 @@
 	a := &attempt{request: r, index: len(r.attempts), server: server, sent: l.now, cancel: cancel}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	endpoint, listed := l.servers[server]
+	to, listed := l.servers[server]
 	if r.answered || !listed {
 		a.phase.Store(abandoned)
 		l.queue = append(l.queue, func() { l.outcome(a, policy.Moot, l.now) })
@@ -344,7 +368,7 @@
 	}
 	m := r.message
 	go func() {
-		p := l.upstream.roundTrip(ctx, endpoint, m, wait, a.begin)
+		p := l.upstream.roundTrip(ctx, to, m, wait, a.begin)
 		at := l.clock.now()
 		l.post(func() { l.finished(a, p, at) })
 	}()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,8 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"otterstep/policy"
 )
 
@@ -29,15 +27,16 @@
 	// After that what was taken gets its answer, and a little for the last bytes.
 	drainSlack = 100 * time.Millisecond
 
-	headTimeout  = 5 * time.Second  // a client may take so long over a head or a body
+	readTimeout  = 2 * time.Second  // a client may take so long over a head and body together
 	writeTimeout = 15 * time.Second // from the head on: over any deadline
-	idleTimeout  = 2 * time.Minute
+	idleTimeout  = 30 * time.Second // some ask once and never close
 	maxHeader    = 16 << 10
 )
 
 // Run serves until ctx ends, then drains: it goes on accepting for a while,
-// answers all that it took and returns nil.
-func Run(ctx context.Context, cfg Config, log *slog.Logger) error {
+// answers all that it took and returns nil. A signal of reloads makes it take over
+// what can change while it runs.
+func Run(ctx context.Context, cfg Config, reloads Reloads, log *slog.Logger) error {
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 	}
@@ -45,16 +44,16 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return serve(ctx, cfg, listener, log)
+	return serve(ctx, cfg, listener, reloads, log)
 }
 
-func serve(ctx context.Context, cfg Config, listener net.Listener, log *slog.Logger) error {
+func serve(ctx context.Context, cfg Config, listener net.Listener, reloads Reloads, log *slog.Logger) error {
 	defer listener.Close()
 	c := newClock()
 	set := cfg.Site.Settings
-	// A request in work takes one descriptor at each side, one that is held only
-	// the client's.
-	servers := (cfg.Sockets - otherSockets) / 3
+	// A request in work takes a descriptor at each side and a second copy one more at
+	// the servers'; clients also have idle connections, and some that say nothing.
+	servers := (cfg.Sockets - otherSockets) * 9 / 20
 	clients := newClients(cfg.Sockets - otherSockets - servers)
 	up := newUpstream(cfg.Site.ConnIdle, cfg.Site.ConnectTimeout, servers)
 	disco := newDiscovery(cfg.Discovery, set.ListAsked, cfg.Site.Zones, c, log)
@@ -85,21 +84,28 @@
 		disco.hand(policy.ListCached, cfg.Known.Targets)
 		disco.run(background)
 	}()
+	go reloads.follow(background, cfg, func(addr string) { disco.move(background, addr) }, log)
 	go func() {
 		for every := time.Tick(time.Second); background.Err() == nil; <-every {
 			up.sweep()
 		}
 	}()
 
-	f := newFront(l, cfg.Site, clients, ready.Load)
+	go clients.run(background)
+
+	bodies := int64(64 << 20)
+	if cfg.MemoryMB > 0 {
+		bodies = int64(cfg.MemoryMB) << 20 / 8
+	}
+	f := newFront(l, cfg.Site, clients, bodies, ready.Load)
 	server := http.Server{
-		Handler: f, ReadHeaderTimeout: headTimeout, ReadTimeout: headTimeout,
+		Handler: f, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
 		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ConnContext: clients.context, ConnState: clients.state,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnState: clients.state,
+		ErrorLog:  slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(netutil.LimitListener(listener, clients.most+clients.spare)) }()
+	go func() { ended <- server.Serve(clients.listener(listener)) }()
 	select {
 	case err := <-ended:
 		return fmt.Errorf("serve: %w", err)
--- /dev/null
+++ b/internal/node/reload_test.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+)
+
+// writeConfig puts a configuration with some discovery into the file.
+func writeConfig(t *testing.T, path, discovery string) {
+	t.Helper()
+	text, err := json.Marshal(map[string]any{
+		"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1",
+		"limits": map[string]any{"sockets": leastSockets}, "settings": json.RawMessage(settings),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards rules 1 and 3 when the configuration changes under load: the watch at the
+// old address is broken off though it would go on, the list of the new one replaces
+// the old, and no request suffers. A file that is no good changes nothing.
+func TestReloadMovesDiscoveryUnderLoad(t *testing.T) {
+	s1, s2 := newServer(t, says(ok("1"), true)), newServer(t, says(ok("2"), true))
+	old, next := newRegistry(t, listed(s1, "s1")), newRegistry(t, listed(s2, "s2"))
+	for range 5 {
+		old.change(listed(s1, "s1")) // a version that the other has never had
+	}
+	hangups := make(chan os.Signal, 1)
+	path := filepath.Join(t.TempDir(), "config.json")
+	addr, _ := startNodeWith(t, old, Reloads{path, hangups})
+	old.told(t)
+
+	stop, answers := make(chan struct{}), sync.WaitGroup{}
+	for range 4 {
+		answers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				resp, err := http.DefaultClient.Do(clientRequest(t, addr, "read", "2.5"))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				text, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if err != nil || resp.StatusCode != http.StatusOK || string(text) != "1" && string(text) != "2" {
+					t.Errorf("answered %s %q, %v", resp.Status, text, err)
+					return
+				}
+			}
+		})
+	}
+	if err := os.WriteFile(path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	hangups <- syscall.SIGHUP
+	waitFor(t, "signal taken", func() bool { return len(hangups) == 0 })
+	old.change(listed(s1, "s1"))
+	old.told(t) // the bad file left the watch in place
+
+	writeConfig(t, path, next.Listener.Addr().String())
+	hangups <- syscall.SIGHUP
+	next.told(t)
+	close(stop)
+	answers.Wait()
+	before := s1.requests.Load()
+	for range 10 {
+		if code, _, body := do(t, clientRequest(t, addr, "read", "2.5")); code != http.StatusOK || body != "2" {
+			t.Errorf("answered %d %q, want 200 from the new list", code, body)
+		}
+	}
+	if n := s1.requests.Load(); n != before {
+		t.Errorf("%d requests to a server that the new list does not name", n-before)
+	}
+}
+
+func TestReloadSaysWhatTakesARestart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, path, "127.0.0.1:2")
+	current, err := LoadConfig(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	current.Listen, current.Discovery = "127.0.0.1:9", "127.0.0.1:1"
+	var text bytes.Buffer
+	hangups, moved := make(chan os.Signal), make(chan string, 4)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		Reloads{path, hangups}.follow(ctx, current, func(addr string) { moved <- addr }, slog.New(slog.NewTextHandler(&text, nil)))
+	}()
+	hangups <- syscall.SIGHUP
+	hangups <- syscall.SIGHUP // the same again moves nothing
+	stop()
+	<-ended
+	if len(moved) != 1 || <-moved != "127.0.0.1:2" {
+		t.Error("want one move, to the new address")
+	}
+	if !bytes.Contains(text.Bytes(), []byte("what=listen")) || bytes.Contains(text.Bytes(), []byte("what=settings")) {
+		t.Errorf("log %s, want the listen address named and nothing else", fmt.Sprint(&text))
+	}
+}
--- /dev/null
+++ b/internal/node/spoilt_test.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"otterstep/policy"
+)
+
+// Guards rule 1 against a second copy that a server sends a moment behind its
+// answer: on a connection used again at once it would be read as the answer to the
+// next request.
+func TestLateBytesAreNoAnswer(t *testing.T) {
+	sent := make(chan struct{}, 8)
+	s := newServer(t, func(n int64, r *http.Request, c net.Conn) bool {
+		io.WriteString(c, ok(r.Header.Get("X-Correlation-Id")))
+		time.Sleep(time.Millisecond)
+		io.WriteString(c, ok("stale"))
+		sent <- struct{}{}
+		return true
+	})
+	u := testUpstream(t, 8)
+	for i, m := range []*message{get(), push(), get(), push()} {
+		p := u.roundTrip(t.Context(), at(s.addr), m, time.Second, yes)
+		if want := m.header.Get("X-Correlation-Id"); string(p.body) != want {
+			t.Errorf("status %d, body %q; want %q", p.status, p.body, want)
+		}
+		if i == 1 { // from here on the bytes are there before the next request
+			<-sent
+			<-sent
+			u.settle()
+		}
+	}
+}
+
+// An interim answer may come long before the one that counts: only an answer that
+// has begun must not stop.
+func TestInterimAnswerIsNoBeginning(t *testing.T) {
+	s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
+		time.Sleep(stallFor + 100*time.Millisecond)
+		io.WriteString(c, ok("hello"))
+		return true
+	})
+	if p := testUpstream(t, 8).roundTrip(t.Context(), at(s.addr), get(), patience, yes); p.status != policy.OK {
+		t.Errorf("status %d, want served", p.status)
+	}
+}
+
+// Guards the client's time: an answer whose declared length can't be right fails at
+// once and is not read, let alone kept, though its server goes on sending.
+func TestAnswerOverTheLimitFailsUnread(t *testing.T) {
+	closed := make(chan int, 1)
+	s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n")
+		n, err := 0, error(nil)
+		for block := make([]byte, 64<<10); err == nil; {
+			var w int
+			w, err = c.Write(block)
+			n += w
+		}
+		closed <- n
+		return false
+	})
+	if p := testUpstream(t, 8).roundTrip(t.Context(), at(s.addr), get(), patience, yes); p.status != policy.Reset {
+		t.Errorf("status %d, want a reset", p.status)
+	}
+	select {
+	case <-closed:
+	case <-time.After(patience):
+		t.Error("the connection stays open")
+	}
+}
+
+// A server's 4xx is about the request: it is not tried again elsewhere, and the
+// server stays as good as it was.
+func TestRejectedRequestIsNotTriedAgain(t *testing.T) {
+	s := newServer(t, func(_ int64, r *http.Request, c net.Conn) bool {
+		if r.Method == http.MethodGet {
+			io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+		} else {
+			io.WriteString(c, ok("x"))
+		}
+		return true
+	})
+	other := newServer(t, says("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n", true))
+	addr, _ := startNode(t, newRegistry(t, listed(s, "s1")))
+	two, _ := startNode(t, newRegistry(t, listed(other, "s1"), listed(other, "s2")))
+	for range 8 { // more than open a breaker
+		if code, _, _ := do(t, clientRequest(t, addr, "read", "2.5")); code != http.StatusBadGateway {
+			t.Errorf("answered %d, want 502", code)
+		}
+	}
+	if code, _, _ := do(t, clientRequest(t, addr, "push", "2.5")); code != http.StatusOK {
+		t.Errorf("answered %d after rejected requests, want 200", code)
+	}
+	if do(t, clientRequest(t, two, "read", "2.5")); other.requests.Load() != 1 {
+		t.Errorf("%d attempts of a rejected request, want 1", other.requests.Load())
+	}
+}
+
+// Guards against connections that outlive their server: a new one may stand at the
+// address of one that is gone, or the same may have started anew. A late word on
+// the old one must not cost the new one its connections.
+func TestReplacedServerGetsItsOwnConnections(t *testing.T) {
+	s := newServer(t, says(ok("x"), true))
+	d := newRegistry(t, listed(s, "s1"))
+	addr, _ := startNode(t, d)
+	conns := func(want int64, when string) {
+		t.Helper()
+		for range 2 {
+			if code, _, _ := do(t, clientRequest(t, addr, "read", "2.5")); code != http.StatusOK {
+				t.Errorf("%s: answered %d, want 200", when, code)
+			}
+			time.Sleep(2 * settleFor) // so that the next one may use the same connection
+		}
+		if n := s.conns.Load(); n != want {
+			t.Errorf("%s: %d connections so far, want %d", when, n, want)
+		}
+	}
+	conns(1, "at first")
+	d.change(listed(s, "s2")) // stands at the address before the old one is reported gone
+	gone := listed(s, "s1")
+	gone.State = "terminated"
+	d.told(t)
+	d.change(gone)
+	d.told(t)
+	conns(2, "replaced")
+	d.change(gone)
+	d.told(t)
+	conns(2, "late word on the old one")
+	again := listed(s, "s2")
+	again.BootMs = 1000 // long ago for the module, and yet another process
+	d.change(again)
+	d.told(t)
+	again.BootMs = time.Now().Add(-time.Minute).UnixMilli()
+	d.change(again)
+	d.told(t)
+	conns(3, "started anew")
+}
+
+// Guards against what grows with servers, ids and connections that come and go.
+func TestNothingIsKeptOfWhatIsGone(t *testing.T) {
+	s := newServer(t, says(ok("x"), true))
+	u := testUpstream(t, 8)
+	l, err := newLoop(siteOf(t, settings).Settings, 1, newClock(), u, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.run(t.Context())
+	for i := range 300 {
+		placed, done := make(chan struct{}), make(chan answer, 1)
+		id := serverID(fmt.Sprint("s", i))
+		l.post(func() {
+			l.members(policy.ListDelta, []policy.Entry{{Server: id, State: policy.Ready}}, []string{s.addr})
+			if i > 0 {
+				l.members(policy.ListDelta, []policy.Entry{{Server: serverID(fmt.Sprint("s", i-1))}}, []string{s.addr})
+			}
+			close(placed)
+		})
+		<-placed
+		m := get()
+		m.header = http.Header{"X-Correlation-Id": {fmt.Sprint("id", i)}}
+		l.post(func() {
+			m.deadline = l.now + time.Second
+			l.submit(policy.Request{Key: uint64(i + 1)}, m, done)
+		})
+		if a := <-done; a.kind != served {
+			t.Fatalf("request %d ended as %d", i, a.kind)
+		}
+	}
+	waitFor(t, "end of all connections but the last server's", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return len(u.idle) <= 1 && u.open <= 1
+	})
+	waitFor(t, "end of all timers", func() bool {
+		count := make(chan int, 1)
+		l.post(func() { count <- len(l.timers) + len(l.requests) })
+		return <-count == 0
+	})
+	count := make(chan int, 1)
+	l.post(func() { count <- len(l.servers) })
+	if n := <-count; n != 1 {
+		t.Errorf("%d servers held, want 1", n)
+	}
+}
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -26,7 +26,7 @@
 
 // New makes a Balancer. An impossible setting gives an error that names it.
 func New(set Settings, seed uint64, host Host) (*Balancer, error) {
-	if err := set.check(); err != nil {
+	if err := set.Check(); err != nil {
 		return nil, err
 	}
 	b := &Balancer{
@@ -59,8 +59,8 @@
 	return b, nil
 }
 
-// check returns an error that names the first impossible field.
-func (s *Settings) check() error {
+// Check returns an error that names the first impossible field.
+func (s *Settings) Check() error {
 	bad := func(field string, v any) error {
 		return fmt.Errorf("policy: setting %s is impossible: %v", field, v)
 	}
