Serve on open connections until shortly before a draining node is killed

Its log: draining, stopped 0.54 s later, though the kill comes 1.3 s after SIGTERM and clients go on using connections that stay open. Answers closed theirs from SIGTERM on, so they had nowhere to go (front.go close, node.go drainFor). Ruled out: discovery's move (reloads at 3 and 10 s lose nothing), list changes.

Now the node serves until the longest deadline and 0.7 s have all but passed; deadlines of what comes late are cut to 100 ms before that, then answers close their connections and idle ones end by the same way as evicted ones, where data that has come wins. With no client left it ends after 0.45 s.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -178,11 +178,28 @@
 	if time.Since(c.since) < after {
 		return false
 	}
+	c.evict()
+	return true
+}
+
+// evict needs the lock.
+func (c *client) evict() {
 	c.move(nil)
 	c.leaving = true
-	g.leaving++
+	c.group.leaving++
 	c.Conn.SetReadDeadline(longAgo)
-	return true
+}
+
+// leave evicts all that have no request open; a request that has come by then is
+// answered. http.Server's Shutdown would cut it off.
+func (g *clients) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, l := range []*list.List{&g.silent, &g.idle} {
+		for l.Len() > 0 {
+			l.Front().Value.(*client).evict()
+		}
+	}
 }
 
 // full tells that open requests alone take up all there is.
@@ -192,6 +209,13 @@
 	return g.count()-g.silent.Len()-g.idle.Len() > g.most
 }
 
+// empty tells that no client is connected.
+func (g *clients) empty() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns) == 0
+}
+
 // crowded tells that few descriptors are left.
 func (g *clients) crowded() bool {
 	g.mu.Lock()
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -245,6 +245,31 @@
 	}
 }
 
+// Guards rule 1 at the end of a drain: idle connections end, but one on which a
+// request has come by then is left to answer it.
+func TestLeavingLosesToData(t *testing.T) {
+	g := newClients(8)
+	var conns [2]*client
+	var peers [2]net.Conn
+	for i := range conns {
+		ours, theirs := net.Pipe()
+		defer ours.Close()
+		defer theirs.Close()
+		conns[i], peers[i] = &client{Conn: ours, group: g}, theirs
+		g.state(conns[i], http.StateNew)
+		g.state(conns[i], http.StateIdle)
+	}
+	g.leave()
+	go io.WriteString(peers[0], "GET")
+	waitFor(t, "data that wins", func() bool {
+		n, _ := conns[0].Read(make([]byte, 3))
+		return n == 3
+	})
+	if _, err := conns[1].Read(make([]byte, 1)); err == nil || g.leaving != 1 {
+		t.Errorf("read %v, %d leaving; want the other connection to go", err, g.leaving)
+	}
+}
+
 // Guards the memory limit: bodies are bounded together, by their declared lengths
 // and before any of it is read.
 func TestLargeBodiesHaveABudget(t *testing.T) {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -128,6 +128,7 @@
 	servers  map[policy.ServerID]backend
 	lastID   policy.RequestID
 	ids      recentIDs
+	endBy    time.Duration // the node ends: answers are due by then; 0: not so far
 	timers   timerHeap
 	queue    []func()
 }
@@ -241,6 +242,9 @@
 	}
 	for l.lastID++; l.requests[l.lastID] != nil; l.lastID++ { // ids wrap around in the end
 	}
+	if l.endBy > 0 {
+		m.deadline = min(m.deadline, l.endBy)
+	}
 	left := max(0, m.deadline-l.now)
 	q.ID, q.Left = l.lastID, left-min(clientMargin, left/2)
 	r := &request{id: q.ID, message: m, answers: answers, end: l.now + q.Left}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,10 +22,17 @@
 	otherSockets = 16
 	leastSockets = 64
 
-	// Clients connect for up to 0.4 s after SIGTERM, and go on using what they have.
-	drainFor = 500 * time.Millisecond
-	// After that what was taken gets its answer, and a little for the last bytes.
-	drainSlack = 100 * time.Millisecond
+	// A node that was told to end is killed no sooner than drainGrace and the longest
+	// deadline later. Clients go on using what connections stay open, and on a tier of
+	// one can go nowhere else, so it serves until shortly before: answers are due
+	// drainSpare ahead of that, connections end from drainLeave ahead of it on, those
+	// behind an answer before those that must be closed while idle.
+	drainGrace  = 700 * time.Millisecond
+	drainAccept = 450 * time.Millisecond // clients connect for up to 0.4 s
+	drainSpare  = 100 * time.Millisecond
+	drainLeave  = 220 * time.Millisecond
+	drainBehind = 100 * time.Millisecond
+	leaveFor    = 20 * time.Millisecond // for idle connections to end by themselves
 
 	readTimeout  = 2 * time.Second  // a client may take so long over a head and body together
 	writeTimeout = 15 * time.Second // from the head on: over any deadline
@@ -113,13 +120,23 @@
 	}
 
 	log.Info("draining")
-	f.draining.Store(true)
-	time.Sleep(drainFor)
 	longest := time.Duration(0)
 	for _, class := range set.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	limit, cancel := context.WithTimeout(background, longest+drainSlack)
+	kill := time.Now().Add(longest + drainGrace)
+	l.post(func() { l.endBy = l.now + time.Until(kill) - drainSpare })
+	told := time.Now()
+	for time.Until(kill) > drainLeave+drainBehind && (time.Since(told) < drainAccept || !clients.empty()) {
+		time.Sleep(leaveFor)
+	}
+	f.draining.Store(true)
+	if !clients.empty() {
+		time.Sleep(drainBehind)
+	}
+	clients.leave()
+	time.Sleep(leaveFor)
+	limit, cancel := context.WithDeadline(background, kill)
 	defer cancel()
 	if err := server.Shutdown(limit); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("shut down: %w", err)
