otterlab demo: a loopback fleet that checks the four rules; node control socket

Need: a newcomer could not run the node, and an operator could not look into one. internal/standin imitates discovery, app boxes and clients and keeps a ledger of the four rules; otterlab demo plays load, a hanging box and a rolling restart of real processes.

--- a/cmd/otterstep/main.go
+++ b/cmd/otterstep/main.go
@@ -1,11 +1,13 @@
 // Command otterstep is one load-balancing node. Its configuration is the file
 // that PROXY_CONFIG names; SIGHUP makes it read that file again, SIGTERM and SIGINT
-// make it drain and exit with 0.
+// make it drain and exit with 0. With -operator it reads the operator's file too,
+// with -check it says what is wrong with both and starts nothing.
 package main
 
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"log/slog"
 	"os"
@@ -13,18 +15,26 @@
 	"syscall"
 
 	"otterstep/internal/node"
+	"otterstep/internal/operator"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := run(ctx); err != nil {
+	operatorFile := flag.String("operator", "", "the operator's `file`; none leaves all that it could switch on off")
+	check := flag.Bool("check", false, "check the configuration, say all that is wrong with it, and start nothing")
+	flag.Parse()
+	if flag.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "otterstep: unexpected argument:", flag.Arg(0))
+		os.Exit(2)
+	}
+	if err := run(ctx, *operatorFile, *check); err != nil {
 		fmt.Fprintln(os.Stderr, "otterstep:", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context) error {
+func run(ctx context.Context, operatorFile string, check bool) error {
 	// From the first moment on, as an uncaught SIGHUP ends the process. One signal
 	// that waits stands for all: the file is read after it.
 	hangups := make(chan os.Signal, 1)
@@ -34,8 +44,9 @@
 		return errors.New("configuration: PROXY_CONFIG names no file")
 	}
 	cfg, err := node.LoadConfig(path)
-	if err != nil {
+	op, err2 := operator.Load(operatorFile)
+	if err := errors.Join(err, err2); err != nil || check {
 		return err
 	}
-	return node.Run(ctx, cfg, node.Reloads{Path: path, Signals: hangups}, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	return node.Run(ctx, cfg, op, node.Reloads{Path: path, Signals: hangups}, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,239 @@
+// Package control is a node's control socket: a Unix socket on which the machine's
+// agent asks what the node is doing. It changes nothing.
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/net/netutil"
+)
+
+// Version of the answers' form; it grows with each change that a reader must know.
+const Version = 1
+
+const (
+	connectionsMost = 8 // open at once; further ones wait in the kernel
+	answerWithin    = 2 * time.Second
+	answerMost      = 4 << 20
+)
+
+// Server is a listed server as the node sees it.
+type Server struct {
+	ID       string    `json:"id"`
+	Endpoint string    `json:"endpoint"`
+	Breaker  string    `json:"breaker"`
+	ReopenMs int64     `json:"reopen_ms,omitempty"`
+	Score    float64   `json:"score"`
+	InFlight int       `json:"in_flight"`
+	Success  float64   `json:"success"`
+	Judged   int       `json:"judged"`
+	Started  time.Time `json:"started,omitzero"`
+}
+
+// Inspection is a node's answer.
+type Inspection struct {
+	Form        int                         `json:"form"` // Version
+	Name        string                      `json:"name"`
+	Version     string                      `json:"version"`
+	Started     time.Time                   `json:"started"`
+	State       string                      `json:"state"` // starting, ready or draining
+	Listen      string                      `json:"listen"`
+	Reloads     int                         `json:"reloads"`
+	ReloadError string                      `json:"reload_error,omitempty"` // of the latest reload
+	Servers     []Server                    `json:"servers"`
+	Open        int                         `json:"open"`     // requests without their final answer
+	Held        int                         `json:"held"`     // of these, those that wait for room
+	Attempts    int                         `json:"attempts"` // in flight
+	Clients     Clients                     `json:"clients"`
+	Descriptors Descriptors                 `json:"descriptors"`
+	Memory      Memory                      `json:"memory"`
+	Counts      map[string]map[string]int64 `json:"counts"` // by class and outcome, since the start
+}
+
+// Clients are the clients' connections.
+type Clients struct {
+	Connections int `json:"connections"`
+	Idle        int `json:"idle"`
+	Silent      int `json:"silent"` // no head so far
+	Most        int `json:"most"`
+}
+
+// Descriptors are the process's.
+type Descriptors struct {
+	Open  int `json:"open"`
+	Limit int `json:"limit"`
+}
+
+// Memory is the process's, in bytes.
+type Memory struct {
+	Heap  uint64 `json:"heap"`
+	Total uint64 `json:"total"` // had from the system
+	Limit uint64 `json:"limit"`
+}
+
+// Serve answers on the socket at path until ctx ends. inspect is never called
+// more than once at a time: those who ask meanwhile share its answer.
+func Serve(ctx context.Context, path string, inspect func(context.Context) (Inspection, error), log *slog.Logger) error {
+	l, err := Listen(path)
+	if err != nil {
+		return fmt.Errorf("control socket: %w", err)
+	}
+	h := &handler{inspect: inspect}
+	mux := http.NewServeMux()
+	mux.Handle("GET /v1/inspect", h)
+	s := &http.Server{
+		Handler: mux, ReadTimeout: answerWithin, WriteTimeout: 2 * answerWithin, MaxHeaderBytes: 4 << 10,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	s.SetKeepAlivesEnabled(false)
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	if err := s.Serve(netutil.LimitListener(l, connectionsMost)); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("control socket: %w", err)
+	}
+	return nil
+}
+
+// Listen opens a Unix socket that only its owner may use. A socket that a dead
+// process left behind is replaced; one that still answers is not, nor is any other
+// file.
+func Listen(path string) (net.Listener, error) {
+	if info, err := os.Lstat(path); err == nil {
+		if info.Mode().Type() != fs.ModeSocket {
+			return nil, fmt.Errorf("%s is there and no socket", path)
+		}
+		if c, err := net.Dial("unix", path); err == nil {
+			c.Close()
+			return nil, fmt.Errorf("%s: another process answers there", path)
+		}
+		if err := os.Remove(path); err != nil {
+			return nil, err
+		}
+	}
+	// Made under another name, so that nobody can connect before its mode is set.
+	l, err := net.Listen("unix", path+".new")
+	if err != nil {
+		return nil, err
+	}
+	l.(*net.UnixListener).SetUnlinkOnClose(false)
+	err = os.Chmod(path+".new", 0o600)
+	if err == nil {
+		err = os.Rename(path+".new", path)
+	}
+	if err != nil {
+		l.Close()
+		os.Remove(path + ".new")
+		return nil, err
+	}
+	return &unlinking{l, path}, nil
+}
+
+// unlinking removes its socket when it closes.
+type unlinking struct {
+	net.Listener
+	path string
+}
+
+func (l *unlinking) Close() error {
+	err := l.Listener.Close()
+	if err == nil {
+		os.Remove(l.path)
+	}
+	return err
+}
+
+type handler struct {
+	inspect func(context.Context) (Inspection, error)
+
+	mu      sync.Mutex
+	pending *pending
+}
+
+// pending is an inspection under way.
+type pending struct {
+	done chan struct{}
+	text []byte
+	err  error
+}
+
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	p := h.pending
+	if p == nil {
+		p = &pending{done: make(chan struct{})}
+		h.pending = p
+		go h.run(p)
+	}
+	h.mu.Unlock()
+	select {
+	case <-p.done:
+	case <-r.Context().Done():
+		return
+	}
+	if p.err != nil {
+		http.Error(w, p.err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(p.text)
+}
+
+func (h *handler) run(p *pending) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerWithin)
+	defer cancel()
+	i, err := h.inspect(ctx)
+	if err == nil {
+		p.text, err = json.Marshal(i)
+	}
+	p.err = err
+	h.mu.Lock()
+	h.pending = nil
+	h.mu.Unlock()
+	close(p.done)
+}
+
+// Inspect asks the node whose control socket is at path.
+func Inspect(ctx context.Context, path string) (Inspection, error) {
+	var i Inspection
+	t := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "unix", path)
+	}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://node/v1/inspect", nil)
+	if err != nil {
+		return i, fmt.Errorf("inspect: %w", err)
+	}
+	resp, err := t.RoundTrip(req)
+	if err != nil {
+		return i, fmt.Errorf("inspect: %w", err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, answerMost+1))
+	switch {
+	case err != nil:
+		return i, fmt.Errorf("inspect: %w", err)
+	case len(text) > answerMost:
+		return i, fmt.Errorf("inspect: an answer of over %d bytes", answerMost)
+	case resp.StatusCode != http.StatusOK:
+		return i, fmt.Errorf("inspect: the node answered %s: %.200s", resp.Status, text)
+	}
+	if err := json.Unmarshal(text, &i); err != nil {
+		return i, fmt.Errorf("inspect: %w", err)
+	}
+	if i.Form != Version {
+		return i, fmt.Errorf("inspect: %w", errForm)
+	}
+	return i, nil
+}
+
+var errForm = errors.New("the node answers in another form than this program reads: bring both to one version")
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -48,8 +48,13 @@
 	failed
 	overdue   // failed because the time was up
 	duplicate // its id is that of another request
+	answerKinds
 )
 
+// outcomeNames are how the control socket words them; a client that left stands
+// behind the last.
+var outcomeNames = [answerKinds + 1]string{"served", "refused", "failed", "overdue", "duplicate", "left"}
+
 // answer is the one final answer of a request.
 type answer struct {
 	kind       answerKind
@@ -63,6 +68,7 @@
 	id       policy.RequestID
 	message  *message
 	answers  chan<- answer // room for the one answer
+	class    int
 	end      time.Duration // attempts are given up
 	answered bool
 	attempts []*attempt
@@ -128,7 +134,8 @@
 	servers  map[policy.ServerID]backend
 	lastID   policy.RequestID
 	ids      recentIDs
-	endBy    time.Duration // the node ends: answers are due by then; 0: not so far
+	counts   [][answerKinds + 1]int64 // by class
+	endBy    time.Duration            // the node ends: answers are due by then; 0: not so far
 	timers   timerHeap
 	queue    []func()
 }
@@ -138,6 +145,7 @@
 		clock: c, upstream: up, watch: watch,
 		events: make(chan func(), 256), stopped: make(chan struct{}),
 		ids:      newRecentIDs(set.Classes),
+		counts:   make([][answerKinds + 1]int64, len(set.Classes)),
 		requests: map[policy.RequestID]*request{}, servers: map[policy.ServerID]backend{},
 	}
 	var err error
@@ -236,7 +244,7 @@
 // submit takes a request in. The answer comes on answers, exactly once.
 func (l *loop) submit(q policy.Request, m *message, answers chan<- answer) *request {
 	if !l.ids.add(l.now, m.header.Get("X-Correlation-Id")) {
-		r := &request{answers: answers}
+		r := &request{class: q.Class, answers: answers}
 		l.answer(r, answer{kind: duplicate})
 		return r
 	}
@@ -247,7 +255,7 @@
 	}
 	left := max(0, m.deadline-l.now)
 	q.ID, q.Left = l.lastID, left-min(clientMargin, left/2)
-	r := &request{id: q.ID, message: m, answers: answers, end: l.now + q.Left}
+	r := &request{id: q.ID, class: q.Class, message: m, answers: answers, end: l.now + q.Left}
 	l.requests[r.id] = r
 	l.balancer.Request(l.now, q)
 	if !r.answered {
@@ -281,6 +289,7 @@
 func (l *loop) left(r *request) {
 	if !r.answered {
 		r.answered = true
+		l.counts[r.class][answerKinds]++
 		l.balancer.Left(l.now, r.id)
 		l.settle(r)
 	}
@@ -329,6 +338,7 @@
 func (l *loop) answer(r *request, a answer) {
 	if !r.answered {
 		r.answered = true
+		l.counts[r.class][a.kind]++
 		r.answers <- a
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"otterstep/internal/operator"
 	"otterstep/policy"
 )
 
@@ -43,7 +44,7 @@
 // Run serves until ctx ends, then drains: it goes on accepting for a while,
 // answers all that it took and returns nil. A signal of reloads makes it take over
 // what can change while it runs.
-func Run(ctx context.Context, cfg Config, reloads Reloads, log *slog.Logger) error {
+func Run(ctx context.Context, cfg Config, op operator.File, reloads Reloads, log *slog.Logger) error {
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 	}
@@ -51,10 +52,10 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return serve(ctx, cfg, listener, reloads, log)
+	return serve(ctx, cfg, op, listener, reloads, log)
 }
 
-func serve(ctx context.Context, cfg Config, listener net.Listener, reloads Reloads, log *slog.Logger) error {
+func serve(ctx context.Context, cfg Config, op operator.File, listener net.Listener, reloads Reloads, log *slog.Logger) error {
 	defer listener.Close()
 	c := newClock()
 	set := cfg.Site.Settings
@@ -91,7 +92,8 @@
 		disco.hand(policy.ListCached, cfg.Known.Targets)
 		disco.run(background)
 	}()
-	go reloads.follow(background, cfg, func(addr string) { disco.move(background, addr) }, log)
+	watcher := newInspector(cfg, listener.Addr().String(), l, clients)
+	go reloads.follow(background, cfg, func(addr string) { disco.move(background, addr) }, watcher.reloaded, log)
 	go func() {
 		for every := time.Tick(time.Second); background.Err() == nil; <-every {
 			up.sweep()
@@ -104,7 +106,22 @@
 	if cfg.MemoryMB > 0 {
 		bodies = int64(cfg.MemoryMB) << 20 / 8
 	}
-	f := newFront(l, cfg.Site, clients, bodies, ready.Load)
+	up200 := ready.Load
+	if op.Drain.TellUp {
+		up200 = func() bool { return ready.Load() && ctx.Err() == nil }
+	}
+	f := newFront(l, cfg.Site, clients, bodies, up200)
+	if path := op.Control.Socket; path != "" {
+		controlled := make(chan struct{})
+		go func() {
+			defer close(controlled)
+			state := func() string { return stateName(ctx, ready.Load()) }
+			if err := watcher.serve(background, path, state, log); err != nil {
+				log.Error("the node serves without it", "err", err)
+			}
+		}()
+		defer func() { stop(); <-controlled }()
+	}
 	server := http.Server{
 		Handler: f, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
 		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/operator"
 	"otterstep/internal/wire"
 	"otterstep/policy"
 )
@@ -142,7 +143,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- serve(ctx, cfg, l, reloads, slog.New(slog.DiscardHandler)) }()
+	go func() { ended <- serve(ctx, cfg, operator.File{}, l, reloads, slog.New(slog.DiscardHandler)) }()
 	stop = sync.OnceValue(func() error { cancel(); return <-ended })
 	t.Cleanup(func() {
 		http.DefaultClient.CloseIdleConnections() // the drain need not wait for them
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -14,8 +14,8 @@
 }
 
 // follow reads the file at each signal and hands discovery's address on. A file
-// that would not do at a start changes nothing.
-func (r Reloads) follow(ctx context.Context, current Config, move func(addr string), log *slog.Logger) {
+// that would not do at a start changes nothing. done is told how each reload ended.
+func (r Reloads) follow(ctx context.Context, current Config, move func(addr string), done func(error), log *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -25,6 +25,7 @@
 		next, err := LoadConfig(r.Path)
 		if err != nil {
 			log.Error("reload failed, the configuration stays", "err", err)
+			done(err)
 			continue
 		}
 		for what, same := range map[string]bool{
@@ -42,5 +43,6 @@
 			current.Discovery = next.Discovery
 			move(next.Discovery)
 		}
+		done(nil)
 	}
 }
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -105,7 +105,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		Reloads{path, hangups}.follow(ctx, current, func(addr string) { moved <- addr }, slog.New(slog.NewTextHandler(&text, nil)))
+		Reloads{path, hangups}.follow(ctx, current, func(addr string) { moved <- addr }, func(error) {}, slog.New(slog.NewTextHandler(&text, nil)))
 	}()
 	hangups <- syscall.SIGHUP
 	hangups <- syscall.SIGHUP // the same again moves nothing
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,49 @@
+// Package operator reads the operator's file: all of a node that the platform's
+// configuration does not know of, and that is off unless this file switches it on.
+package operator
+
+import (
+	"path/filepath"
+
+	"otterstep/internal/tomlfile"
+)
+
+// socketPathMost is what a Unix socket's address holds, see unix(7).
+const socketPathMost = 107
+
+// File is the operator's file; its zero value is a node with everything off.
+type File struct {
+	Control struct {
+		// Socket is the path of the Unix socket that answers inspect; "" for none.
+		Socket string `toml:"socket"`
+	} `toml:"control"`
+	Drain struct {
+		// TellUp makes /up answer 503 from the first moment of a drain, so that
+		// clients that follow it go elsewhere before connections end.
+		TellUp bool `toml:"tell_up"`
+	} `toml:"drain"`
+}
+
+// Load reads and checks the file at path; "" is the zero File.
+func Load(path string) (File, error) {
+	var file File
+	if path == "" {
+		return file, nil
+	}
+	f, err := tomlfile.Load(path, &file)
+	if err != nil {
+		return File{}, err
+	}
+	if s := file.Control.Socket; s != "" {
+		switch {
+		case !filepath.IsAbs(s):
+			f.Bad("control.socket", "%q is no absolute path", s)
+		case len(s) > socketPathMost:
+			f.Bad("control.socket", "%d bytes long, a socket's path holds at most %d", len(s), socketPathMost)
+		}
+	}
+	if err := f.Err(); err != nil {
+		return File{}, err
+	}
+	return file, nil
+}
--- /dev/null
+++ b/internal/standin/box.go
@@ -0,0 +1,286 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Class is a class of requests as boxes and clients see it.
+type Class struct {
+	Name     string
+	Effect   Effect
+	Deadline time.Duration
+	Aim      time.Duration
+	Window   time.Duration // Keyed: how long repeats are dropped
+	Work     time.Duration // mean, on one core of speed 1
+	Share    float64       // of the clients' requests
+}
+
+// BoxOptions describe an app box.
+type BoxOptions struct {
+	UID, Zone string
+	Cores     int
+	Speed     float64 // of a core; 1 does a class's Work in that time
+	Queue     int     // requests that wait for a core; more are turned away unseen
+	Classes   []Class
+	// Cold start: the share of the capacity at boot, growing evenly to the whole at
+	// ColdFor. Sent more than FallMultiple times what it can do for FallFor, a cold
+	// box falls over and stays down.
+	ColdFrom     float64
+	ColdFor      time.Duration
+	FallMultiple float64
+	FallFor      time.Duration
+	Seed         uint64
+}
+
+// Box is an app box on loopback. Its methods that change how it behaves may be
+// called at any time.
+type Box struct {
+	opt       BoxOptions
+	classes   map[string]Class
+	ledger    *Ledger
+	discovery *Discovery
+	addr      string
+	cores     chan struct{}
+
+	mu       sync.Mutex
+	server   *http.Server // nil while it is down
+	booted   time.Time    // zero: long ago
+	slow     float64      // work takes so many times longer
+	errors   float64      // share of requests that fail fast
+	hang     chan struct{}
+	draining bool
+	fell     bool
+	waiting  int
+	load     float64 // seconds of work beyond what a cold box can take, see push
+	loadAt   time.Time
+	rng      *rand.Rand
+}
+
+// NewBox starts a warm box and lists it.
+func NewBox(opt BoxOptions, d *Discovery, l *Ledger) (*Box, error) {
+	b := &Box{
+		opt: opt, classes: map[string]Class{}, ledger: l, discovery: d, slow: 1,
+		cores: make(chan struct{}, opt.Cores), rng: rand.New(rand.NewPCG(opt.Seed, 1)),
+	}
+	for _, c := range opt.Classes {
+		b.classes[c.Name] = c
+	}
+	if err := b.listen("127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	b.list(InService)
+	return b, nil
+}
+
+// UID is the box's name in the list.
+func (b *Box) UID() string { return b.opt.UID }
+
+func (b *Box) listen(addr string) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("app box %s: %w", b.opt.UID, err)
+	}
+	s := &http.Server{Handler: b, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 15 * time.Second}
+	b.mu.Lock()
+	b.addr, b.server = l.Addr().String(), s
+	b.mu.Unlock()
+	go s.Serve(l)
+	return nil
+}
+
+func (b *Box) list(state string) {
+	b.mu.Lock()
+	t := Target{
+		UID: b.opt.UID, Endpoint: b.addr, AZ: b.opt.Zone, Model: "m1", State: state,
+		CapacityHint: float64(b.opt.Cores) * b.opt.Speed,
+	}
+	if !b.booted.IsZero() {
+		t.BootMs = b.booted.UnixMilli()
+	}
+	b.mu.Unlock()
+	b.discovery.Set(t)
+}
+
+// Slow makes work take so many times longer; 1 is normal.
+func (b *Box) Slow(times float64) { b.set(func() { b.slow = times }) }
+
+// FailFast makes a share of the requests fail at once, before they run.
+func (b *Box) FailFast(share float64) { b.set(func() { b.errors = share }) }
+
+// Hang makes it take requests and answer none; those that it holds when it ends
+// are dropped.
+func (b *Box) Hang(on bool) {
+	b.set(func() {
+		if on && b.hang == nil {
+			b.hang = make(chan struct{})
+		} else if !on && b.hang != nil {
+			close(b.hang)
+			b.hang = nil
+		}
+	})
+}
+
+func (b *Box) set(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f()
+}
+
+// Drain makes it finish what it has; the list says so.
+func (b *Box) Drain() {
+	b.list(Terminating)
+	b.set(func() { b.draining = true })
+}
+
+// Crash ends it: connections break, new ones are refused. The list is not told.
+func (b *Box) Crash() {
+	b.mu.Lock()
+	s := b.server
+	b.server = nil
+	b.mu.Unlock()
+	if s != nil {
+		s.Close()
+	}
+	b.Hang(false)
+}
+
+// Leave takes it off the list and ends it.
+func (b *Box) Leave() {
+	b.list(Terminated)
+	b.Crash()
+}
+
+// Return starts it again, cold, at its old address, and lists it.
+func (b *Box) Return() error {
+	b.Crash()
+	b.set(func() {
+		b.booted, b.draining, b.fell, b.slow, b.errors, b.load = time.Now(), false, false, 1, 0, 0
+	})
+	if err := b.listen(b.addr); err != nil {
+		return err
+	}
+	b.list(InService)
+	return nil
+}
+
+// Heal ends slowness, errors and hanging.
+func (b *Box) Heal() {
+	b.set(func() { b.slow, b.errors = 1, 0 })
+	b.Hang(false)
+}
+
+// State says in a word how it is.
+func (b *Box) State() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.fell:
+		return "fallen"
+	case b.server == nil:
+		return "down"
+	case b.draining:
+		return "draining"
+	case b.hang != nil:
+		return "hanging"
+	case b.errors > 0:
+		return "failing"
+	case b.slow > 1:
+		return "slow"
+	case b.share(time.Now()) < 1:
+		return "cold"
+	}
+	return "ok"
+}
+
+// share is the part of its capacity that it has; it needs the lock.
+func (b *Box) share(now time.Time) float64 {
+	if b.booted.IsZero() || b.opt.ColdFor <= 0 {
+		return 1
+	}
+	age := float64(now.Sub(b.booted)) / float64(b.opt.ColdFor)
+	return min(1, b.opt.ColdFrom+(1-b.opt.ColdFrom)*age)
+}
+
+// push notes work that was sent and tells whether that pushes a cold box over: the
+// work of any stretch of FallFor is held against FallMultiple times what the box
+// can do in it. It needs the lock.
+func (b *Box) push(now time.Time, work time.Duration) bool {
+	share := b.share(now)
+	if share >= 1 {
+		return false
+	}
+	limit := b.opt.FallMultiple * share * float64(b.opt.Cores) * b.opt.Speed // core seconds a second
+	if !b.loadAt.IsZero() {
+		b.load = max(0, b.load-limit*now.Sub(b.loadAt).Seconds())
+	}
+	b.loadAt = now
+	b.load += work.Seconds()
+	return b.load > limit*b.opt.FallFor.Seconds()
+}
+
+// ServeHTTP is a request that a node sent. Once it runs it goes on to its end,
+// whether or not anybody waits.
+func (b *Box) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	id := r.Header.Get("X-Correlation-Id")
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	class, known := b.classes[name]
+	if id == "" || !known {
+		http.NotFound(w, r)
+		return
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, 64<<10)); err != nil {
+		return // never began
+	}
+	told, _ := b.discovery.ToldAll(b.opt.UID)
+	b.ledger.Arrived(id, b.opt.UID, now, told)
+
+	b.mu.Lock()
+	if b.push(now, class.Work) && !b.fell {
+		b.fell = true
+		b.mu.Unlock()
+		b.ledger.Fell(b.opt.UID)
+		b.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	hang, draining, full := b.hang, b.draining, b.waiting >= b.opt.Queue+b.opt.Cores
+	fails := b.errors > 0 && b.rng.Float64() < b.errors
+	took := time.Duration(float64(class.Work) * (0.7 + 0.6*b.rng.Float64()) * b.slow / b.opt.Speed / b.share(now))
+	if hang == nil && !draining && !full && !fails {
+		b.waiting++
+	}
+	b.mu.Unlock()
+	switch {
+	case hang != nil:
+		select {
+		case <-hang:
+		case <-r.Context().Done():
+		}
+		panic(http.ErrAbortHandler)
+	case draining, full:
+		w.Header().Set("X-Unprocessed", "1")
+		http.Error(w, "turned away", http.StatusServiceUnavailable)
+		return
+	case fails:
+		http.Error(w, "broken", http.StatusInternalServerError)
+		return
+	}
+	b.cores <- struct{}{}
+	if b.ledger.Ran(id, b.opt.UID, class.Effect, class.Window, time.Now()) {
+		time.Sleep(took)
+	}
+	<-b.cores
+	b.set(func() { b.waiting-- })
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	io.WriteString(w, Body(id, b.opt.UID))
+}
+
+// Body is a box's answer to a request.
+func Body(id, box string) string { return id + " by " + box + "\n" }
--- /dev/null
+++ b/internal/standin/lab/lab.go
@@ -0,0 +1,281 @@
+// Package lab puts a whole fleet on loopback: discovery, app boxes, clients and
+// real instances of the node, run as the processes that they are in service.
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"otterstep/internal/standin"
+)
+
+// Options size a lab.
+type Options struct {
+	Dir       string   // for configurations, logs and sockets; must exist
+	Node      []string // the command of an instance
+	NodeEnv   []string // what its environment has besides
+	Instances int
+	Boxes     int
+	Rate      float64 // clients' requests a second; 0: no clients
+	Classes   []standin.Class
+	Asked     bool // discovery is one service that nodes ask, instead of lists that are pushed
+	Seed      uint64
+	Log       *slog.Logger
+}
+
+// Classes are those of a small booking fleet.
+func Classes() []standin.Class {
+	return []standin.Class{
+		{Name: "avail-read", Effect: standin.Safe, Deadline: 1400 * time.Millisecond, Aim: 580 * time.Millisecond, Work: 60 * time.Millisecond, Share: 0.56},
+		{Name: "booking-push", Effect: standin.Keyed, Deadline: 1900 * time.Millisecond, Aim: 750 * time.Millisecond, Work: 80 * time.Millisecond, Window: 6 * time.Second, Share: 0.40},
+		{Name: "card-charge", Effect: standin.Unsafe, Deadline: 1900 * time.Millisecond, Aim: 750 * time.Millisecond, Work: 80 * time.Millisecond, Share: 0.04},
+	}
+}
+
+var tenants = []string{"umurage-hotels", "nyungwe-lodges", "lakeside-gisenyi"}
+
+const (
+	ledgerMost  = 200_000
+	startWithin = 20 * time.Second
+	zone        = "room1"
+	// What cold boxes get; the same figures stand in the instances' settings.
+	coldFrom, fallMultiple = 0.32, 3.0
+	coldFor, fallFor       = 8800 * time.Millisecond, time.Second
+)
+
+// Lab is a running fleet. Close ends all of it.
+type Lab struct {
+	Discovery *standin.Discovery
+	Boxes     []*standin.Box
+	Ledger    *standin.Ledger
+	Front     *standin.Front
+	Clients   *standin.Clients
+	Instances []*Instance
+
+	opt     Options
+	started time.Time
+	outlets []*standin.Outlet
+	spawner *spawner
+	stop    context.CancelFunc
+	done    chan struct{} // front and clients have ended
+	load    context.CancelFunc
+}
+
+// New starts a fleet and returns once every instance is up. On an error nothing
+// is left running.
+func New(ctx context.Context, opt Options) (_ *Lab, err error) {
+	if opt.Instances < 1 || opt.Boxes < 1 {
+		return nil, errors.New("lab: at least one instance and one box are needed")
+	}
+	if opt.Classes == nil {
+		opt.Classes = Classes()
+	}
+	if opt.Log == nil {
+		opt.Log = slog.New(slog.DiscardHandler)
+	}
+	l := &Lab{
+		Discovery: standin.NewDiscovery(), Ledger: standin.NewLedger(ledgerMost),
+		opt: opt, started: time.Now(), spawner: newSpawner(), done: make(chan struct{}),
+		stop: func() {}, load: func() {},
+	}
+	close(l.done)
+	defer func() {
+		if err != nil {
+			l.Close()
+		}
+	}()
+	for i := range opt.Boxes {
+		b, err := standin.NewBox(standin.BoxOptions{
+			UID: fmt.Sprintf("s%d", i+1), Zone: zone, Cores: 2 + i%2, Speed: 1.5 - 0.5*float64(i%2), Queue: 4,
+			Classes: opt.Classes, ColdFrom: coldFrom, ColdFor: coldFor, FallMultiple: fallMultiple, FallFor: fallFor,
+			Seed: opt.Seed + uint64(i),
+		}, l.Discovery, l.Ledger)
+		if err != nil {
+			return nil, err
+		}
+		l.Boxes = append(l.Boxes, b)
+	}
+	if err := l.instances(); err != nil {
+		return nil, err
+	}
+	var addrs []string
+	for _, i := range l.Instances {
+		addrs = append(addrs, i.Addr)
+	}
+	l.Front = standin.NewFront(addrs)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	l.stop, l.done = stop, make(chan struct{})
+	load, unload := context.WithCancel(background)
+	l.load = unload
+	done := l.done
+	if opt.Rate > 0 {
+		l.Clients = standin.NewClients(standin.ClientOptions{
+			Rate: opt.Rate, Classes: opt.Classes, Tenants: tenants, Keys: 400, Seed: opt.Seed, Most: 4096,
+		}, l.Front, l.Ledger)
+		go l.Clients.Run(load)
+	}
+	go func() {
+		defer close(done)
+		l.Front.Run(background)
+		if l.Clients != nil {
+			l.Clients.Wait()
+		}
+	}()
+	ready, cancel := context.WithTimeout(ctx, startWithin)
+	defer cancel()
+	return l, l.allUp(ready)
+}
+
+// allUp waits until the front has every instance in.
+func (l *Lab) allUp(ctx context.Context) error {
+	for l.Front.In() < len(l.Instances) {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("lab: %d of %d instances are up: %w", l.Front.In(), len(l.Instances), ctx.Err())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// instances writes the configurations and starts the processes.
+func (l *Lab) instances() error {
+	var shared *standin.Outlet
+	for i := range l.opt.Instances {
+		name := fmt.Sprintf("n%d", i+1)
+		outlet := shared
+		if outlet == nil {
+			var err error
+			if l.opt.Asked {
+				shared, err = l.Discovery.Asked(2 * time.Millisecond)
+				outlet = shared
+			} else {
+				outlet, err = l.Discovery.Pushed()
+			}
+			if err != nil {
+				return err
+			}
+			l.outlets = append(l.outlets, outlet)
+		}
+		instance, err := l.instance(name, outlet.Addr(), i)
+		if err != nil {
+			return err
+		}
+		l.Instances = append(l.Instances, instance)
+		if err := instance.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Lab) instance(name, discovery string, index int) (*Instance, error) {
+	addr, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	config := filepath.Join(l.opt.Dir, name+".json")
+	text, err := json.MarshalIndent(l.config(name, addr, discovery, index), "", " ")
+	if err != nil {
+		return nil, fmt.Errorf("lab: configuration of %s: %w", name, err)
+	}
+	if err := os.WriteFile(config, text, 0o600); err != nil {
+		return nil, fmt.Errorf("lab: %w", err)
+	}
+	operator := filepath.Join(l.opt.Dir, name+".toml")
+	socket := filepath.Join(l.opt.Dir, name+".sock")
+	if err := os.WriteFile(operator, fmt.Appendf(nil, "[control]\nsocket = %q\n\n[drain]\ntell_up = true\n", socket), 0o600); err != nil {
+		return nil, fmt.Errorf("lab: %w", err)
+	}
+	return &Instance{
+		Name: name, Addr: addr, Config: config, Operator: operator, Control: socket,
+		Log: filepath.Join(l.opt.Dir, name+".log"), lab: l,
+	}, nil
+}
+
+// freeAddr finds a free address. Nothing holds it until the instance listens, so
+// that another process might take it; the instance then says so and ends.
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("lab: %w", err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+type object = map[string]any
+
+func (l *Lab) config(name, addr, discovery string, index int) object {
+	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	effects := map[standin.Effect]string{standin.Safe: "pure", standin.Keyed: "token", standin.Unsafe: "side_effect"}
+	var classes, accounts []object
+	for _, c := range l.opt.Classes {
+		classes = append(classes, object{
+			"Name": c.Name, "DeadlineMs": ms(c.Deadline), "PromiseMs": ms(c.Aim), "Effect": effects[c.Effect],
+			"DedupScope": "all", "KeyTtlMs": ms(c.Window), "Importance": 1 + 6*float64(c.Effect%2),
+		})
+	}
+	for _, t := range tenants {
+		accounts = append(accounts, object{"Name": t, "QuotaPerS": 0})
+	}
+	mode := "pushed"
+	if l.opt.Asked {
+		mode = "on_request"
+	}
+	return object{
+		"name": name, "listen": addr, "discovery": discovery, "seed": fmt.Sprintf("%016x", l.opt.Seed+uint64(index)),
+		"limits": object{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":  object{"rev": 0, "all": true, "targets": []any{}},
+		"settings": object{
+			"Accounts": accounts, "Classes": classes, "Balancers": l.opt.Instances, "RegistryMode": mode, "Zones": []string{zone},
+			"Contract": object{"ColdFrom": coldFrom, "ColdMs": ms(coldFor), "FallMultiple": fallMultiple, "FallMs": ms(fallFor), "MustAskInMs": 5000},
+			"Limits": object{
+				"MaxAttempts": 4, "SecondCopies": true, "Cancel": true, "RetryAfter": true, "MaxRetryAfterMs": 600,
+				"ConnIdleMs": 15000, "ConnectTimeoutMs": 250,
+			},
+		},
+	}
+}
+
+// Box finds a box by its uid.
+func (l *Lab) Box(uid string) (*standin.Box, error) {
+	for _, b := range l.Boxes {
+		if b.UID() == uid {
+			return b, nil
+		}
+	}
+	return nil, fmt.Errorf("lab: no box %q, there are s1 to s%d", uid, len(l.Boxes))
+}
+
+// Unload ends the clients' requests and waits for the last answers.
+func (l *Lab) Unload() {
+	l.load()
+	if l.Clients != nil {
+		l.Clients.Wait()
+	}
+}
+
+// Close ends clients, instances, boxes and discovery. No process is left.
+func (l *Lab) Close() {
+	l.load()
+	l.stop()
+	<-l.done
+	for _, i := range l.Instances {
+		i.kill()
+	}
+	l.spawner.close()
+	for _, o := range l.outlets {
+		o.Close()
+	}
+	for _, b := range l.Boxes {
+		b.Crash()
+	}
+}
