--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -1,5 +1,7 @@
 // Command otterlab runs a whole fleet on loopback: discovery, app boxes that
-// misbehave on command, clients, and real instances of the node.
+// misbehave on command, clients, agents, and real instances of the node.
+//
+// Exit codes: 0 all went well, 1 a rule broke or something failed, 2 wrong use.
 package main
 
 import (
@@ -7,106 +9,149 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"otterstep/internal/buildinfo"
+	"otterstep/internal/cli"
 	"otterstep/internal/standin/lab"
 )
 
-// Exit codes: 0 all went well, 1 a rule broke or something failed, 2 wrong use.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
+func main() { os.Exit(cli.Run(command())) }
 
-// errBroken means that the demo ran to its end and a rule broke; its table says so.
-var errBroken = errors.New("a rule broke")
+type options struct {
+	lab lab.Options
+	dir string
+}
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	used := false
-	root := command(&used)
-	root.SetContext(ctx)
-	err := root.Execute()
-	switch {
-	case err == nil:
-	case !used:
-		fmt.Fprintln(os.Stderr, "otterlab:", err)
-		os.Exit(exitUsage)
-	default:
-		fmt.Fprintln(os.Stderr, "otterlab:", err)
-		os.Exit(exitFailed)
-	}
+func (o *options) flags(c *cobra.Command, instances, agents int) {
+	f := c.Flags()
+	f.IntVar(&o.lab.Instances, "instances", instances, "instances of the node")
+	f.IntVar(&o.lab.Agents, "agents", agents, "agents, among which the instances are dealt out")
+	f.IntVar(&o.lab.Boxes, "boxes", 8, "app boxes")
+	f.Float64Var(&o.lab.Rate, "rate", 120, "clients' requests a second; 0 for none")
+	f.Uint64Var(&o.lab.Seed, "seed", 1, "seed of all that is random")
+	f.BoolVar(&o.lab.Asked, "asked", false, "discovery is asked, instead of pushing its list")
+	f.StringVar(&o.dir, "dir", "", "`folder` for configurations, logs and sockets; one that goes with the lab if not given")
 }
 
-// command builds the command line; used is set once the words were understood.
-func command(used *bool) *cobra.Command {
-	root := &cobra.Command{
-		Use: "otterlab", Short: "A fleet on loopback, to look at and to break",
-		SilenceErrors: true, SilenceUsage: true,
-		PersistentPreRun: func(*cobra.Command, []string) { *used = true },
-	}
-	opt := lab.Options{}
-	dir := ""
-	flags := func(c *cobra.Command, instances int) {
-		c.Flags().IntVar(&opt.Instances, "instances", instances, "instances of the node")
-		c.Flags().IntVar(&opt.Boxes, "boxes", 8, "app boxes")
-		c.Flags().Float64Var(&opt.Rate, "rate", 120, "clients' requests a second; 0 for none")
-		c.Flags().Uint64Var(&opt.Seed, "seed", 1, "seed of all that is random")
-		c.Flags().BoolVar(&opt.Asked, "asked", false, "discovery is asked, instead of pushing its list")
-		c.Flags().StringVar(&dir, "dir", "", "folder for configurations, logs and sockets; a new one that goes with the lab if not given")
-	}
-	demo := &cobra.Command{
-		Use: "demo", Short: "Play 30 seconds of load, a box that hangs and a rolling restart; exit 1 if a rule broke",
+func command() *cobra.Command {
+	root := &cobra.Command{Use: "otterlab", Short: "A fleet on loopback, to look at and to break", Version: buildinfo.Version()}
+	root.AddCommand(demo(), up(), box(), status(), guard())
+	return root
+}
+
+func demo() *cobra.Command {
+	o := &options{}
+	c := &cobra.Command{
+		Use: "demo", Short: "Play 30 seconds of load, a box that hangs, a rolling restart and a crash; exit 1 if a rule broke",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			return with(c.Context(), &opt, dir, func(l *lab.Lab) error {
+			return o.with(c.Context(), func(l *lab.Lab, _ string) error {
 				held, err := l.Demo(c.Context(), lab.Story{
-					Calm: 6 * time.Second, Hang: 6 * time.Second, Healed: 2 * time.Second, After: 3 * time.Second,
+					Calm: 5 * time.Second, Hang: 6 * time.Second, Healed: 2 * time.Second, After: 4 * time.Second,
 				}, c.OutOrStdout())
 				if err == nil && !held {
-					err = errBroken
+					err = errors.New("a rule broke")
 				}
 				return err
 			})
 		},
 	}
-	flags(demo, 3)
-	root.AddCommand(demo)
-	return root
+	o.flags(c, 3, 2)
+	return c
+}
+
+func up() *cobra.Command {
+	o := &options{}
+	c := &cobra.Command{
+		Use: "up", Short: "Run a fleet until interrupted, and say what to type next", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return o.with(c.Context(), func(l *lab.Lab, bin string) error {
+				fmt.Fprintf(c.OutOrStdout(), "%d instances under %d agents serve %.0f requests a second from %d boxes. Now type, elsewhere:\n\n%s\nInterrupt to end it all.\n",
+					o.lab.Instances, o.lab.Agents, o.lab.Rate, o.lab.Boxes, l.Next(bin))
+				if err := l.Serve(c.Context()); err != nil {
+					return err
+				}
+				l.Unload()
+				if !l.Print(c.OutOrStdout()) {
+					return errors.New("a rule broke")
+				}
+				return nil
+			})
+		},
+	}
+	o.flags(c, 10, 3)
+	return c
+}
+
+func box() *cobra.Command {
+	dir := ""
+	c := &cobra.Command{
+		Use: "box BOX WORD [NUMBER]", Short: "Have a box of a running lab hang, slow 4, fail 0.5, heal, drain, leave, crash or return",
+		Args: cobra.RangeArgs(2, 3),
+		RunE: func(c *cobra.Command, words []string) error {
+			_, err := lab.Ask(c.Context(), dir, words)
+			return err
+		},
+	}
+	c.Flags().StringVar(&dir, "dir", ".", "the lab's `folder`")
+	return c
+}
+
+func status() *cobra.Command {
+	dir := ""
+	c := &cobra.Command{
+		Use: "status", Short: "Show a running lab's boxes and what its clients got", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			text, err := lab.Ask(c.Context(), dir, nil)
+			fmt.Fprint(c.OutOrStdout(), text)
+			return err
+		},
+	}
+	c.Flags().StringVar(&dir, "dir", ".", "the lab's `folder`")
+	return c
+}
+
+// guard is the lab's own: it ends the instances of a lab that has died.
+func guard() *cobra.Command {
+	return &cobra.Command{
+		Use: "guard DIR", Hidden: true, Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error { return lab.Guard(os.Stdin, args[0]) },
+	}
 }
 
 // with runs a lab in a folder, and removes the folder if it made it.
-func with(ctx context.Context, opt *lab.Options, dir string, do func(*lab.Lab) error) error {
+func (o *options) with(ctx context.Context, do func(l *lab.Lab, bin string) error) error {
 	self, err := os.Executable()
 	if err != nil {
 		return err
 	}
-	node := filepath.Join(filepath.Dir(self), "otterstep")
-	if _, err := os.Stat(node); err != nil {
-		return fmt.Errorf("the node's program should stand beside this one, build both: %w", err)
+	bin := filepath.Dir(self)
+	node, agent := filepath.Join(bin, "otterstep"), filepath.Join(bin, "otteragent")
+	for _, program := range []string{node, agent} {
+		if _, err := os.Stat(program); err != nil {
+			return fmt.Errorf("the other programs should stand beside this one, build them all: %w", err)
+		}
 	}
-	opt.Node = []string{node}
-	if dir == "" {
-		if dir, err = os.MkdirTemp("", "otterlab-"); err != nil {
+	o.lab.Node, o.lab.Agent, o.lab.Guard = []string{node}, []string{agent, "run"}, []string{self, "guard"}
+	if o.dir == "" {
+		if o.dir, err = os.MkdirTemp("", "otterlab-"); err != nil {
 			return err
 		}
-		defer os.RemoveAll(dir)
-	} else if err := os.MkdirAll(dir, 0o700); err != nil {
+		defer os.RemoveAll(o.dir)
+	} else if err := os.MkdirAll(o.dir, 0o700); err != nil {
 		return err
 	}
-	if opt.Dir, err = filepath.Abs(dir); err != nil {
+	if o.lab.Dir, err = filepath.Abs(o.dir); err != nil {
 		return err
 	}
-	l, err := lab.New(ctx, *opt)
+	l, err := lab.New(ctx, o.lab)
 	if err != nil {
 		return err
 	}
 	defer l.Close()
-	return do(l)
+	return do(l, bin)
 }
--- /dev/null
+++ b/internal/fleet/agent/agent.go
@@ -0,0 +1,517 @@
+// Package agent supervises the instances of one machine and carries out operators'
+// commands on them. What is desired and each step of each operation are on the
+// disk before anything is done, so that an agent that was killed anywhere is
+// followed by one that finishes the work. Instances don't need it to serve.
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"otterstep/internal/fleet/book"
+	"otterstep/internal/fleet/protocol"
+	"otterstep/internal/fleet/record"
+)
+
+const (
+	// compactAt is the record's size at which it is rewritten as one snapshot, unless
+	// the snapshot takes up half of it.
+	compactAt   = 4 << 20
+	expireEvery = 250 * time.Millisecond
+	mendEvery   = 2 * time.Second
+)
+
+// Options are what New needs besides the configuration.
+type Options struct {
+	Launcher []string // the command that calls proc.Launch; required unless Runner is given
+	Version  string   // of the program
+	Log      *slog.Logger
+	FS       record.FS // the system's if nil
+	Runner   Runner    // real processes if nil
+}
+
+// Agent is one machine's. Run it with Run.
+type Agent struct {
+	cfg     Config
+	log     *slog.Logger
+	runner  Runner
+	probe   *http.Transport
+	started time.Time
+	version string
+	guard   *os.File // locked: one agent to a folder
+	refused refusals
+
+	commit sync.Mutex // held while an entry is checked, written and applied
+	record *record.Log
+	// dirty tells that the book holds what the record lacks, because it could not be
+	// written: no command is taken until a rewrite succeeds.
+	dirty     error
+	compacted int64 // the record's size after the latest rewrite
+
+	mu     sync.RWMutex // over what follows; never held during I/O
+	book   *book.Book
+	leases map[string]time.Time // ends of the open commands' leases
+	ended  chan struct{}        // closed and replaced when an operation ends
+
+	units map[string]*unit
+	order []string // names of the units, sorted
+}
+
+// New opens the record and makes an agent. Nothing is started or adopted before Run.
+func New(cfg Config, opt Options) (*Agent, error) {
+	a := &Agent{
+		cfg: cfg, log: opt.Log, runner: opt.Runner, started: time.Now(), version: opt.Version,
+		probe: &http.Transport{DisableKeepAlives: true}, leases: map[string]time.Time{}, ended: make(chan struct{}),
+		units: map[string]*unit{},
+	}
+	if a.log == nil {
+		a.log = slog.New(slog.DiscardHandler)
+	}
+	if opt.FS == nil {
+		opt.FS = record.OS{}
+	}
+	if err := os.MkdirAll(cfg.State, 0o700); err != nil {
+		return nil, fmt.Errorf("agent: %w", err)
+	}
+	if a.runner == nil {
+		a.runner = processes{folder: cfg.State, launcher: opt.Launcher}
+	}
+	if err := a.lock(); err != nil {
+		return nil, err
+	}
+	for _, def := range cfg.Instance {
+		a.units[def.Name] = newUnit(a, def)
+		a.order = append(a.order, def.Name)
+	}
+	slices.Sort(a.order)
+	a.book = book.New(a.order)
+	if err := a.open(opt.FS); err != nil {
+		a.guard.Close()
+		return nil, err
+	}
+	return a, nil
+}
+
+// lock keeps a second agent off the folder.
+func (a *Agent) lock() error {
+	f, err := os.OpenFile(filepath.Join(a.cfg.State, "agent.lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		f.Close()
+		return fmt.Errorf("agent: another one works on %s: %w", a.cfg.State, err)
+	}
+	a.guard = f
+	return nil
+}
+
+// open reads the record and settles what a former agent left.
+func (a *Agent) open(fsys record.FS) error {
+	log, found, err := record.Open(fsys, filepath.Join(a.cfg.State, "record"), a.cfg.Name, func(text json.RawMessage) error {
+		var e book.Entry
+		if err := json.Unmarshal(text, &e); err != nil {
+			return err
+		}
+		a.book.Apply(e)
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	a.record = log
+	switch {
+	case found.Aside != "":
+		a.log.Error("the record was damaged: it is kept aside, and commands from before now are forgotten", "aside", found.Aside, "why", found.Why)
+		a.book.Forgotten(time.Now())
+		a.dirty = errors.New("not written since the record was damaged")
+		a.mend()
+	case found.Torn > 0:
+		a.log.Warn("the record's last line was torn and is dropped", "bytes", found.Torn)
+	}
+	a.compacted = a.record.Size()
+	now := time.Now()
+	for _, id := range a.book.OpenCommands() {
+		a.leases[id] = now.Add(protocol.LeaseFor)
+	}
+	for _, op := range a.book.Unfinished() {
+		last, step := op.Began, "begun"
+		if n := len(op.Steps); n > 0 {
+			last, step = op.Steps[n-1].At, op.Steps[n-1].Name
+		}
+		unit := a.units[op.Instance]
+		switch age := now.Sub(last); {
+		case unit == nil:
+			a.end(&op, protocol.Interrupted, fmt.Sprintf("stopped at %q: the instance is not in the agent's file any more", step))
+		case age > a.cfg.Wait.Finish.Duration:
+			a.end(&op, protocol.Interrupted, fmt.Sprintf("stopped at %q, %v before this agent was started", step, age.Round(time.Second)))
+		default:
+			a.log.Info("goes on with an operation", "instance", op.Instance, "kind", op.Kind, "command", op.Command, "after", step)
+		}
+	}
+	return nil
+}
+
+// Run supervises and answers tools until ctx ends. The instances go on.
+func (a *Agent) Run(ctx context.Context) error {
+	defer a.guard.Close()
+	defer a.record.Close()
+	servers, err := a.listen()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var work sync.WaitGroup
+	var adopting sync.WaitGroup
+	for _, name := range a.order {
+		adopting.Add(1)
+		work.Go(func() { a.units[name].run(ctx, adopting.Done) })
+	}
+	work.Go(func() { a.expire(ctx) })
+	// No tool is answered before the truth is known.
+	adopting.Wait()
+	a.log.Info("ready", "agent", a.cfg.Name, "instances", len(a.order))
+	for _, s := range servers {
+		work.Go(func() {
+			if err := s.serve(ctx); err != nil {
+				cancel(err)
+			}
+		})
+	}
+	work.Wait()
+	if err := context.Cause(ctx); !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("agent: %w", err)
+	}
+	return nil
+}
+
+// expire frees the leases of tools that have died, and mends the record.
+func (a *Agent) expire(ctx context.Context) {
+	every := time.NewTicker(expireEvery)
+	defer every.Stop()
+	mend := time.NewTicker(mendEvery)
+	defer mend.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-mend.C:
+			a.commit.Lock()
+			if a.dirty != nil || a.record.Err() != nil {
+				a.mend()
+			}
+			a.commit.Unlock()
+		case now := <-every.C:
+			a.mu.RLock()
+			var over []string
+			for id, end := range a.leases {
+				if now.After(end) {
+					over = append(over, id)
+				}
+			}
+			a.mu.RUnlock()
+			for _, id := range over {
+				reason := fmt.Sprintf("not renewed for %v: its tool is gone", protocol.LeaseFor)
+				if _, err := a.write(book.Entry{Close: &book.Close{ID: id, State: protocol.Expired, Reason: reason}}); err == nil {
+					a.log.Warn("a command's lease has expired", "command", id)
+				}
+			}
+		}
+	}
+}
+
+// mend rewrites the record from memory. It needs commit.
+func (a *Agent) mend() {
+	a.mu.RLock()
+	s := a.book.Snapshot()
+	a.mu.RUnlock()
+	if err := a.record.Rewrite(book.Entry{At: time.Now(), Snapshot: s}); err != nil {
+		a.log.Error("the record can't be written: no command is taken", "err", err)
+		return
+	}
+	if a.dirty != nil {
+		a.log.Info("the record is written again")
+	}
+	a.dirty, a.compacted = nil, a.record.Size()
+}
+
+// write checks a change, puts it on the disk and applies it. done means that it was
+// made before.
+func (a *Agent) write(e book.Entry) (done bool, err error) {
+	a.commit.Lock()
+	defer a.commit.Unlock()
+	return a.writeLocked(e)
+}
+
+// writeLocked needs commit.
+func (a *Agent) writeLocked(e book.Entry) (done bool, err error) {
+	a.mu.RLock()
+	done, err = a.book.Check(e)
+	a.mu.RUnlock()
+	if done || err != nil {
+		return done, err
+	}
+	e.At = time.Now()
+	if a.dirty == nil && a.record.Err() == nil && a.record.Size() > max(compactAt, 2*a.compacted) {
+		a.mend()
+	}
+	err = a.dirty
+	if err == nil {
+		err = a.record.Append(e)
+	}
+	if err != nil {
+		a.log.Error("the record can't be written", "err", err)
+		return false, protocol.Errorf(protocol.CodeRecord, "nothing is begun, as it can't be written down: %v", err)
+	}
+	a.apply(e)
+	return false, nil
+}
+
+// apply changes the book and what goes with it.
+func (a *Agent) apply(e book.Entry) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.book.Apply(e)
+	switch {
+	case e.Open != nil:
+		a.leases[e.Open.Request.ID] = time.Now().Add(protocol.LeaseFor)
+	case e.Close != nil:
+		delete(a.leases, e.Close.ID)
+	case e.End != nil:
+		close(a.ended)
+		a.ended = make(chan struct{})
+	}
+}
+
+// step writes down the step that an operation is about to take.
+func (a *Agent) step(op *protocol.Operation, name, note string) error {
+	_, err := a.write(book.Entry{Step: &book.Step{ID: op.Command, Instance: op.Instance, Name: name, Note: note}})
+	return err
+}
+
+// end ends an operation. If that can't be written down it holds in memory all the
+// same: the record then lacks it until it is mended.
+func (a *Agent) end(op *protocol.Operation, state, reason string) {
+	a.commit.Lock()
+	defer a.commit.Unlock()
+	e := book.Entry{At: time.Now(), End: &book.End{ID: op.Command, Instance: op.Instance, State: state, Reason: reason}}
+	if _, err := a.writeLocked(e); err != nil {
+		a.dirty = err
+		a.apply(e)
+	}
+}
+
+func (a *Agent) operationOn(name string) *protocol.Operation {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	i, _ := a.book.Instance(name)
+	if i.Operation == "" {
+		return nil
+	}
+	return a.book.Operation(i.Operation, name)
+}
+
+func (a *Agent) desired(name string) bool {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	i, _ := a.book.Instance(name)
+	return i.Up
+}
+
+func (a *Agent) runAt(op *protocol.Operation) string {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.book.RunAt(op.Command, op.Instance)
+}
+
+// ---- what tools ask for
+
+// recordState is "ok", or why no command is taken.
+func (a *Agent) recordState() string {
+	a.commit.Lock()
+	defer a.commit.Unlock()
+	if err := errors.Join(a.record.Err(), a.dirty); err != nil {
+		return err.Error()
+	}
+	return "ok"
+}
+
+// instance gives an instance's state; it needs mu.
+func (a *Agent) instance(u *unit) protocol.Instance {
+	kept, _ := a.book.Instance(u.def.Name)
+	v := u.look()
+	i := protocol.Instance{
+		Name: u.def.Name, Group: u.def.Group, Labels: u.def.Labels, Listen: u.def.Listen, Desired: "down",
+		State: v.state, Pid: v.pid, Since: v.since, Generation: kept.Generation, Crashes: v.crashes, Message: v.message,
+		Holder: a.book.Holder(u.def.Name), Operation: kept.Operation,
+	}
+	if kept.Up {
+		i.Desired = "up"
+	}
+	return i
+}
+
+func (a *Agent) instances() []protocol.Instance {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	list := make([]protocol.Instance, 0, len(a.order))
+	for _, name := range a.order {
+		list = append(list, a.instance(a.units[name]))
+	}
+	return list
+}
+
+func (a *Agent) openCommand(r protocol.CommandRequest, operator string) (*protocol.Command, error) {
+	for _, s := range r.Instances {
+		if a.units[s.Name] == nil {
+			return nil, &protocol.Error{Code: protocol.CodeNotFound, Instance: s.Name, Text: fmt.Sprintf("no instance %q is known here", s.Name)}
+		}
+	}
+	if _, err := a.write(book.Entry{Open: &book.Open{Request: r, Operator: operator}}); err != nil {
+		return nil, err
+	}
+	return a.renew(r.ID, operator)
+}
+
+func notFound(id string) error {
+	return protocol.Errorf(protocol.CodeNotFound, "no command %s is known here", id)
+}
+
+// mine gives a command if the operator may work on it.
+func (a *Agent) mine(id, operator string) (*protocol.Command, error) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	c := a.book.Command(id)
+	if c == nil {
+		return nil, notFound(id)
+	}
+	if c.Operator != operator {
+		return nil, &protocol.Error{
+			Code: protocol.CodeConflict, Text: fmt.Sprintf("command %s is %s's, not %s's", id, c.Operator, operator),
+			Holder: &protocol.Holder{Command: c.ID, Kind: c.Kind, Operator: c.Operator, Since: c.Opened},
+		}
+	}
+	return c, nil
+}
+
+// renew makes a command's lease last another protocol.LeaseFor.
+func (a *Agent) renew(id, operator string) (*protocol.Command, error) {
+	c, err := a.mine(id, operator)
+	if err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, open := a.leases[id]; open {
+		a.leases[id] = time.Now().Add(protocol.LeaseFor)
+	} else if c.State == protocol.Open {
+		return nil, protocol.Errorf(protocol.CodeConflict, "command %s has just ended", id)
+	}
+	return c, nil
+}
+
+func (a *Agent) closeCommand(id, operator, reason string) (*protocol.Command, error) {
+	if _, err := a.mine(id, operator); err != nil {
+		return nil, err
+	}
+	if _, err := a.write(book.Entry{Close: &book.Close{ID: id, State: protocol.Closed, Reason: reason}}); err != nil {
+		return nil, err
+	}
+	return a.mine(id, operator)
+}
+
+// runOperation begins an operation, or finds the one that was begun.
+func (a *Agent) runOperation(id, instance, operator string) (*protocol.Operation, error) {
+	if _, err := a.renew(id, operator); err != nil {
+		return nil, err
+	}
+	u := a.units[instance]
+	if u == nil {
+		return nil, &protocol.Error{Code: protocol.CodeNotFound, Instance: instance, Text: fmt.Sprintf("no instance %q is known here", instance)}
+	}
+	if _, err := a.write(book.Entry{Begin: &book.Begin{ID: id, Instance: instance, Run: u.look().token}}); err != nil {
+		return nil, err
+	}
+	select {
+	case u.wanted <- struct{}{}:
+	default: // it will look
+	}
+	return a.operation(id, instance)
+}
+
+func (a *Agent) operation(id, instance string) (*protocol.Operation, error) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	o := a.book.Operation(id, instance)
+	if o == nil {
+		return nil, protocol.Errorf(protocol.CodeNotFound, "no operation of command %s on %q is known here", id, instance)
+	}
+	return o, nil
+}
+
+// waitOperation waits until an operation has ended, or wait is over.
+func (a *Agent) waitOperation(ctx context.Context, id, instance string, wait time.Duration) (*protocol.Operation, error) {
+	limit := time.NewTimer(min(wait, protocol.WaitMost))
+	defer limit.Stop()
+	for {
+		a.mu.RLock()
+		ended := a.ended
+		a.mu.RUnlock()
+		o, err := a.operation(id, instance)
+		if err != nil || o.State != protocol.Running {
+			return o, err
+		}
+		select {
+		case <-ended:
+		case <-limit.C:
+			return o, nil
+		case <-ctx.Done():
+			return o, nil
+		}
+	}
+}
+
+// abort ends a command, whoever gave it, and gives up what of it was interrupted.
+// An operation under way goes on to its end: half of one helps nobody.
+func (a *Agent) abort(id, operator string) (*protocol.Command, error) {
+	a.mu.RLock()
+	c := a.book.Command(id)
+	a.mu.RUnlock()
+	if c == nil {
+		return nil, notFound(id)
+	}
+	reason := "aborted by " + operator
+	for _, o := range c.Operations {
+		if o.State == protocol.Interrupted {
+			if _, err := a.write(book.Entry{End: &book.End{ID: id, Instance: o.Instance, State: protocol.Aborted, Reason: reason + "; " + o.Reason}}); err != nil {
+				return nil, err
+			}
+		}
+	}
+	if c.State == protocol.Open {
+		if _, err := a.write(book.Entry{Close: &book.Close{ID: id, State: protocol.Closed, Reason: reason}}); err != nil {
+			return nil, err
+		}
+	}
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.book.Command(id), nil
+}
+
+func (a *Agent) commands(n int) []*protocol.Command {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.book.Commands(n)
+}
--- /dev/null
+++ b/internal/fleet/agent/server.go
@@ -0,0 +1,257 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/net/netutil"
+	"otterstep/internal/control"
+	"otterstep/internal/fleet/pki"
+	"otterstep/internal/fleet/protocol"
+)
+
+const (
+	connectionsMost = 256 // on each of the agent's listeners; further ones wait in the kernel
+	commandsShown   = 200
+	readWithin      = 5 * time.Second
+	idleFor         = 30 * time.Second
+)
+
+// refusals counts who was turned away, by cause.
+type refusals struct {
+	mu     sync.Mutex
+	counts map[string]int64 // the causes are few: those in this package
+}
+
+func (r *refusals) add(cause string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.counts == nil {
+		r.counts = map[string]int64{}
+	}
+	r.counts[cause]++
+}
+
+func (r *refusals) all() map[string]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.counts)
+}
+
+// caller is who asks.
+type caller struct {
+	name string
+	role string // pki.Viewer, pki.Operator or "" for nobody
+}
+
+// server is one of the agent's listeners.
+type server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+func (s *server) serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { s.http.Close() })
+	defer stop()
+	if err := s.http.Serve(s.listener); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// listen opens the socket and the port that the configuration names.
+func (a *Agent) listen() (servers []*server, err error) {
+	defer func() {
+		if err != nil {
+			for _, s := range servers {
+				s.listener.Close()
+			}
+		}
+	}()
+	if a.cfg.Socket != "" {
+		l, err := control.Listen(a.cfg.Socket)
+		if err != nil {
+			return servers, fmt.Errorf("agent: socket: %w", err)
+		}
+		servers = append(servers, a.server(peers{l, os.Getuid(), a.refused.add}))
+	}
+	if a.cfg.Listen != "" {
+		conf, err := pki.ServerConfig(a.cfg.TLS.CA, a.cfg.TLS.Cert, a.cfg.TLS.Key, a.refused.add)
+		if err != nil {
+			return servers, fmt.Errorf("agent: tls: %w", err)
+		}
+		l, err := net.Listen("tcp", a.cfg.Listen)
+		if err != nil {
+			return servers, fmt.Errorf("agent: listen: %w", err)
+		}
+		a.log.Info("listens", "addr", l.Addr().String())
+		servers = append(servers, a.server(tls.NewListener(l, conf)))
+	}
+	return servers, nil
+}
+
+func (a *Agent) server(l net.Listener) *server {
+	return &server{netutil.LimitListener(l, connectionsMost), &http.Server{
+		Handler: a.handler(), ReadHeaderTimeout: readWithin, ReadTimeout: 2 * readWithin, WriteTimeout: protocol.WaitMost + 2*readWithin,
+		IdleTimeout: idleFor, MaxHeaderBytes: 16 << 10,
+		ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelDebug),
+	}}
+}
+
+func (a *Agent) handler() http.Handler {
+	mux := http.NewServeMux()
+	handle := func(pattern, role string, f func(r *http.Request, c caller) (any, error)) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			c := whoAsks(r)
+			if c.role == "" || role == pki.Operator && c.role != pki.Operator {
+				a.refused.add("role")
+				reply(w, nil, protocol.Errorf(protocol.CodeForbidden, "%q has the role %q, this takes %q", c.name, c.role, role))
+				return
+			}
+			v, err := f(r, c)
+			reply(w, v, err)
+		})
+	}
+	handle("GET /v1/agent", pki.Viewer, func(*http.Request, caller) (any, error) {
+		return protocol.Agent{
+			Name: a.cfg.Name, Protocol: protocol.Version, Version: a.version, Started: a.started,
+			Instances: len(a.order), Record: a.recordState(), Refused: a.refused.all(),
+		}, nil
+	})
+	handle("GET /v1/instances", pki.Viewer, func(*http.Request, caller) (any, error) { return a.instances(), nil })
+	handle("GET /v1/instances/{name}/inspect", pki.Viewer, func(r *http.Request, _ caller) (any, error) { return a.inspect(r) })
+	handle("GET /v1/commands", pki.Viewer, func(*http.Request, caller) (any, error) { return a.commands(commandsShown), nil })
+	handle("POST /v1/commands", pki.Operator, func(r *http.Request, c caller) (any, error) {
+		var q protocol.CommandRequest
+		if err := read(r, &q); err != nil {
+			return nil, err
+		}
+		return a.openCommand(q, c.name)
+	})
+	handle("POST /v1/commands/{id}/renew", pki.Operator, func(r *http.Request, c caller) (any, error) {
+		return a.renew(r.PathValue("id"), c.name)
+	})
+	handle("POST /v1/commands/{id}/close", pki.Operator, func(r *http.Request, c caller) (any, error) {
+		var q protocol.CloseRequest
+		if err := read(r, &q); err != nil {
+			return nil, err
+		}
+		return a.closeCommand(r.PathValue("id"), c.name, q.Reason)
+	})
+	handle("POST /v1/commands/{id}/abort", pki.Operator, func(r *http.Request, c caller) (any, error) {
+		return a.abort(r.PathValue("id"), c.name)
+	})
+	handle("POST /v1/commands/{id}/run/{instance}", pki.Operator, func(r *http.Request, c caller) (any, error) {
+		return a.runOperation(r.PathValue("id"), r.PathValue("instance"), c.name)
+	})
+	handle("GET /v1/commands/{id}/run/{instance}", pki.Viewer, func(r *http.Request, _ caller) (any, error) {
+		wait := time.Duration(0)
+		if text := r.URL.Query().Get("wait"); text != "" {
+			ms, err := strconv.ParseInt(text, 10, 64)
+			if err != nil || ms < 0 {
+				return nil, protocol.Errorf(protocol.CodeUsage, "wait: %q is no number of milliseconds", text)
+			}
+			wait = time.Duration(min(ms, protocol.WaitMost.Milliseconds())) * time.Millisecond
+		}
+		return a.waitOperation(r.Context(), r.PathValue("id"), r.PathValue("instance"), wait)
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		reply(w, nil, protocol.Errorf(protocol.CodeNotFound, "%s %s: no such call", r.Method, r.URL.Path))
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if v := asks(r); v != strconv.Itoa(protocol.Version) {
+			a.refused.add("version")
+			reply(w, nil, protocol.Errorf(protocol.CodeVersion, "asked in protocol version %q, this agent (%s) speaks version %d: bring tool and agent to one version", v, a.version, protocol.Version))
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// asks gives the protocol's version that a request is in; "?" if its path and its
+// header differ or tell none.
+func asks(r *http.Request) string {
+	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	v, ok := strings.CutPrefix(first, "v")
+	if h := r.Header.Get(protocol.VersionHeader); !ok || h != "" && h != v {
+		return "?"
+	}
+	return v
+}
+
+func whoAsks(r *http.Request) caller {
+	if r.TLS != nil {
+		name, role := pki.Who(r.TLS)
+		return caller{name, role}
+	}
+	return caller{r.RemoteAddr, pki.Operator} // peers has let in nobody else
+}
+
+// read takes a request's body, which must be one JSON value of known fields.
+func read(r *http.Request, into any) error {
+	text, err := io.ReadAll(io.LimitReader(r.Body, protocol.BodyMost+1))
+	if err != nil {
+		return protocol.Errorf(protocol.CodeUsage, "body: %v", err)
+	}
+	if len(text) > protocol.BodyMost {
+		return protocol.Errorf(protocol.CodeUsage, "body: over %d bytes", protocol.BodyMost)
+	}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return protocol.Errorf(protocol.CodeUsage, "body: %v", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return protocol.Errorf(protocol.CodeUsage, "body: more than one value")
+	}
+	return nil
+}
+
+func reply(w http.ResponseWriter, v any, err error) {
+	status := http.StatusOK
+	if err != nil {
+		var e *protocol.Error
+		if !errors.As(err, &e) {
+			e = protocol.Errorf(protocol.CodeFailed, "%v", err)
+		}
+		v, status = e, e.Status()
+	}
+	text, err := json.Marshal(v)
+	if err != nil {
+		status, text = http.StatusInternalServerError, []byte(`{"code":"failed","text":"the answer can't be encoded"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(protocol.VersionHeader, strconv.Itoa(protocol.Version))
+	w.WriteHeader(status)
+	_, _ = w.Write(append(text, '\n'))
+}
+
+// inspect asks the instance's control socket.
+func (a *Agent) inspect(r *http.Request) (any, error) {
+	u := a.units[r.PathValue("name")]
+	if u == nil {
+		return nil, protocol.Errorf(protocol.CodeNotFound, "no instance %q is known here", r.PathValue("name"))
+	}
+	if u.def.Control == "" {
+		return nil, protocol.Errorf(protocol.CodeFailed, "the agent's file names no control socket for %s", u.def.Name)
+	}
+	i, err := u.inspect(r.Context())
+	if err != nil {
+		return nil, err
+	}
+	return i, nil
+}
--- /dev/null
+++ b/internal/fleet/book/book.go
@@ -0,0 +1,494 @@
+// Package book is an agent's memory: what is desired of each instance, who holds
+// it, and the commands and operations with their steps. It does no I/O and has no
+// clock. Each change is an Entry, which the agent writes to its record before it
+// applies it, so that reading the record again gives the same Book.
+package book
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"otterstep/internal/fleet/protocol"
+)
+
+const (
+	// CommandsMost is how many ended commands are remembered. The id of one that was
+	// forgotten is refused as too old, so that it can't act twice.
+	CommandsMost = 2000
+	// stepsMost bounds an operation's steps; a resumed one adds to them.
+	stepsMost = 64
+)
+
+// Entry is one change. Exactly one of its pointers is set.
+type Entry struct {
+	At       time.Time `json:"at"`
+	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	Open     *Open     `json:"open,omitempty"`
+	Close    *Close    `json:"close,omitempty"`
+	Begin    *Begin    `json:"begin,omitempty"`
+	Step     *Step     `json:"step,omitempty"`
+	End      *End      `json:"end,omitempty"`
+}
+
+// Open opens a command and takes its lease.
+type Open struct {
+	Request  protocol.CommandRequest `json:"request"`
+	Operator string                  `json:"operator"`
+}
+
+// Close ends a command and frees its lease.
+type Close struct {
+	ID     string `json:"id"`
+	State  string `json:"state"` // protocol.Closed or Expired
+	Reason string `json:"reason,omitempty"`
+}
+
+// Begin begins an operation or takes one up again; with it the desired state changes.
+type Begin struct {
+	ID       string `json:"id"`
+	Instance string `json:"instance"`
+	// Run is the token of the process that ran at the time, "" for none: what tells
+	// the old process from the new one, should the agent die in between.
+	Run string `json:"run"`
+}
+
+// Step is a step that an operation is about to take.
+type Step struct {
+	ID       string `json:"id"`
+	Instance string `json:"instance"`
+	Name     string `json:"name"`
+	Note     string `json:"note,omitempty"`
+}
+
+// End ends an operation.
+type End struct {
+	ID       string `json:"id"`
+	Instance string `json:"instance"`
+	State    string `json:"state"`
+	Reason   string `json:"reason,omitempty"`
+}
+
+// Snapshot is a whole Book.
+type Snapshot struct {
+	Instances map[string]*Instance `json:"instances"`
+	Commands  []*Command           `json:"commands"`
+	Horizon   time.Time            `json:"horizon"`
+}
+
+// Instance is what is kept of an instance.
+type Instance struct {
+	Up         bool   `json:"up"` // desired
+	Generation uint64 `json:"generation"`
+	// Operation is the command whose operation is under way here, "" for none.
+	Operation string `json:"operation,omitempty"`
+}
+
+// Command is a command with its operations.
+type Command struct {
+	protocol.Command
+	// Runs are the tokens of Begin, by instance.
+	Runs map[string]string `json:"runs"`
+	// Resumes counts how often the command was taken up again, Tries which of these
+	// times an instance's operation was begun at last: once each.
+	Resumes int            `json:"resumes,omitempty"`
+	Tries   map[string]int `json:"tries"`
+}
+
+// Book is the memory. Its zero value is not ready; use New. It is not safe for
+// concurrent use.
+type Book struct {
+	instances map[string]*Instance
+	commands  map[string]*Command
+	order     []string            // ids of commands, the oldest first
+	holders   map[string]*Command // by instance: the open command that has its lease
+	horizon   time.Time           // ids from before this are forgotten
+}
+
+// New makes a book for the given instances; one that it reads of later and that is
+// not among them is kept, as its definition may come back.
+func New(names []string) *Book {
+	b := &Book{instances: map[string]*Instance{}, commands: map[string]*Command{}, holders: map[string]*Command{}}
+	for _, name := range names {
+		b.instances[name] = &Instance{Up: true}
+	}
+	return b
+}
+
+// Forgotten notes that commands from before now may be missing, as when a record
+// was damaged: their ids are refused.
+func (b *Book) Forgotten(now time.Time) { b.horizon = now }
+
+// Instance gives what is kept of an instance.
+func (b *Book) Instance(name string) (Instance, bool) {
+	i := b.instances[name]
+	if i == nil {
+		return Instance{}, false
+	}
+	return *i, true
+}
+
+// Holder gives who holds an instance; nil if nobody does.
+func (b *Book) Holder(name string) *protocol.Holder {
+	c := b.holders[name]
+	if c == nil {
+		return nil
+	}
+	return &protocol.Holder{Command: c.ID, Kind: c.Kind, Operator: c.Operator, Since: c.Opened}
+}
+
+// Command gives a copy of a command; nil if there is none.
+func (b *Book) Command(id string) *protocol.Command {
+	c := b.commands[id]
+	if c == nil {
+		return nil
+	}
+	return c.view()
+}
+
+func (c *Command) view() *protocol.Command {
+	v := c.Command
+	v.Instances = slices.Clone(v.Instances)
+	v.Operations = slices.Clone(v.Operations)
+	for i := range v.Operations {
+		v.Operations[i].Steps = slices.Clone(v.Operations[i].Steps)
+	}
+	return &v
+}
+
+func (c *Command) clone() *Command {
+	return &Command{Command: *c.view(), Runs: maps.Clone(c.Runs), Resumes: c.Resumes, Tries: maps.Clone(c.Tries)}
+}
+
+// Commands gives the latest commands, the newest first, at most n.
+func (b *Book) Commands(n int) []*protocol.Command {
+	list := make([]*protocol.Command, 0, min(n, len(b.order)))
+	for _, id := range slices.Backward(b.order) {
+		if len(list) == n {
+			break
+		}
+		list = append(list, b.commands[id].view())
+	}
+	return list
+}
+
+// OpenCommands gives the ids of the commands that hold a lease.
+func (b *Book) OpenCommands() []string {
+	var ids []string
+	for _, id := range b.order {
+		if b.commands[id].State == protocol.Open {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Operation gives a copy of an operation; nil if it was never begun.
+func (b *Book) Operation(id, instance string) *protocol.Operation {
+	o := b.operation(id, instance)
+	if o == nil {
+		return nil
+	}
+	v := *o
+	v.Steps = slices.Clone(o.Steps)
+	return &v
+}
+
+func (b *Book) operation(id, instance string) *protocol.Operation {
+	c := b.commands[id]
+	if c == nil {
+		return nil
+	}
+	i := slices.IndexFunc(c.Operations, func(o protocol.Operation) bool { return o.Instance == instance })
+	if i < 0 {
+		return nil
+	}
+	return &c.Operations[i]
+}
+
+// RunAt gives the token of the process that ran when an operation began.
+func (b *Book) RunAt(id, instance string) string {
+	if c := b.commands[id]; c != nil {
+		return c.Runs[instance]
+	}
+	return ""
+}
+
+// Check tells whether a change may be made; the error is the answer to whoever
+// asked for it. done means that it was made before: nothing is to be written.
+func (b *Book) Check(e Entry) (done bool, err error) {
+	switch {
+	case e.Open != nil:
+		return b.checkOpen(e.Open)
+	case e.Begin != nil:
+		return b.checkBegin(e.Begin)
+	case e.Close != nil:
+		c := b.commands[e.Close.ID]
+		if c == nil {
+			return false, protocol.Errorf(protocol.CodeNotFound, "no command %s is known here", e.Close.ID)
+		}
+		return c.State != protocol.Open, nil
+	case e.Step != nil:
+		if o := b.operation(e.Step.ID, e.Step.Instance); o == nil || o.State != protocol.Running {
+			return false, protocol.Errorf(protocol.CodeConflict, "operation %s on %s is not under way", e.Step.ID, e.Step.Instance)
+		}
+	case e.End != nil:
+		o := b.operation(e.End.ID, e.End.Instance)
+		if o == nil {
+			return false, protocol.Errorf(protocol.CodeNotFound, "no operation %s on %s is known here", e.End.ID, e.End.Instance)
+		}
+		return o.State != protocol.Running && !(o.State == protocol.Interrupted && e.End.State == protocol.Aborted), nil
+	}
+	return false, nil
+}
+
+func (b *Book) checkOpen(o *Open) (bool, error) {
+	r := o.Request
+	made, err := protocol.IDTime(r.ID)
+	switch {
+	case err != nil:
+		return false, protocol.Errorf(protocol.CodeUsage, "id: %v", err)
+	case !slices.Contains(protocol.Kinds, r.Kind):
+		return false, protocol.Errorf(protocol.CodeUsage, "kind: unknown word %q", r.Kind)
+	case len(r.Instances) == 0 || len(r.Instances) > protocol.InstancesMost:
+		return false, protocol.Errorf(protocol.CodeUsage, "instances: %d are named, 1 to %d can be", len(r.Instances), protocol.InstancesMost)
+	}
+	names := map[string]bool{}
+	for _, s := range r.Instances {
+		if names[s.Name] {
+			return false, protocol.Errorf(protocol.CodeUsage, "instances: %q is named twice", s.Name)
+		}
+		names[s.Name] = true
+	}
+	if c := b.commands[r.ID]; c != nil {
+		same := c.Kind == r.Kind && c.Operator == o.Operator && len(c.Instances) == len(r.Instances) &&
+			!slices.ContainsFunc(c.Instances, func(n string) bool { return !names[n] })
+		switch {
+		case !same && !r.Resume:
+			return false, protocol.Errorf(protocol.CodeConflict, "command %s is known here as another one: %s by %s", r.ID, c.Kind, c.Operator)
+		case c.Kind != r.Kind:
+			return false, protocol.Errorf(protocol.CodeConflict, "command %s is known here as %s", r.ID, c.Kind)
+		case !r.Resume && c.State == protocol.Open:
+			return true, nil // the same again: its answer was lost
+		case !r.Resume:
+			return false, protocol.Errorf(protocol.CodeConflict, "command %s has ended (%s)", r.ID, c.State)
+		}
+	} else if made.Before(b.horizon) {
+		return false, protocol.Errorf(protocol.CodeTooOld, "command %s is from before %s, up to when commands are forgotten here: whether it was done can't be told", r.ID, b.horizon.UTC().Format(time.RFC3339))
+	}
+	for _, s := range r.Instances {
+		i := b.instances[s.Name]
+		if i == nil {
+			return false, &protocol.Error{Code: protocol.CodeNotFound, Instance: s.Name, Text: fmt.Sprintf("no instance %q is known here", s.Name)}
+		}
+		if h := b.Holder(s.Name); h != nil && (h.Command != r.ID || h.Operator != o.Operator) {
+			return false, &protocol.Error{
+				Code: protocol.CodeConflict, Instance: s.Name, Holder: h,
+				Text: fmt.Sprintf("%s is held by %s for %s %s since %s", s.Name, h.Operator, h.Kind, h.Command, h.Since.UTC().Format(time.RFC3339)),
+			}
+		}
+		if i.Operation != "" && i.Operation != r.ID {
+			c := b.commands[i.Operation]
+			return false, &protocol.Error{
+				Code: protocol.CodeConflict, Instance: s.Name,
+				Holder: &protocol.Holder{Command: c.ID, Kind: c.Kind, Operator: c.Operator, Since: c.Opened},
+				Text:   fmt.Sprintf("%s of %s on %s, begun for command %s, has not ended", c.Kind, c.Operator, s.Name, c.ID),
+			}
+		}
+		if i.Generation != s.Generation && !r.Resume {
+			return false, &protocol.Error{
+				Code: protocol.CodeConflict, Instance: s.Name, Holder: b.lastOn(s.Name),
+				Text: fmt.Sprintf("%s has changed since it was looked at: generation %d, now %d", s.Name, s.Generation, i.Generation),
+			}
+		}
+	}
+	return false, nil
+}
+
+// lastOn gives who last began an operation on an instance.
+func (b *Book) lastOn(name string) *protocol.Holder {
+	for _, id := range slices.Backward(b.order) {
+		if c := b.commands[id]; b.operation(id, name) != nil {
+			return &protocol.Holder{Command: c.ID, Kind: c.Kind, Operator: c.Operator, Since: c.Opened}
+		}
+	}
+	return nil
+}
+
+func (b *Book) checkBegin(e *Begin) (bool, error) {
+	c := b.commands[e.ID]
+	if c == nil {
+		return false, protocol.Errorf(protocol.CodeNotFound, "no command %s is known here", e.ID)
+	}
+	if !slices.Contains(c.Instances, e.Instance) {
+		return false, protocol.Errorf(protocol.CodeUsage, "command %s does not name %q", e.ID, e.Instance)
+	}
+	if o := b.operation(e.ID, e.Instance); o != nil && (o.State == protocol.Running || o.State == protocol.Done ||
+		c.Tries[e.Instance] == c.Resumes || c.State != protocol.Open) {
+		return true, nil // begun before: the operation is the answer
+	}
+	if c.State != protocol.Open {
+		return false, protocol.Errorf(protocol.CodeConflict, "command %s is %s and holds %s no longer", e.ID, c.State, e.Instance)
+	}
+	return false, nil
+}
+
+// Apply makes a change that Check has passed, or that was written when it had.
+func (b *Book) Apply(e Entry) {
+	switch {
+	case e.Snapshot != nil:
+		b.load(e.Snapshot)
+	case e.Open != nil:
+		b.open(e.At, e.Open)
+	case e.Close != nil:
+		if c := b.commands[e.Close.ID]; c != nil {
+			b.release(c)
+			c.State, c.Reason = e.Close.State, e.Close.Reason
+			b.forget()
+		}
+	case e.Begin != nil:
+		b.begin(e.At, e.Begin)
+	case e.Step != nil:
+		if o := b.operation(e.Step.ID, e.Step.Instance); o != nil {
+			if len(o.Steps) == stepsMost {
+				o.Steps = slices.Delete(o.Steps, 0, 1)
+			}
+			o.Steps = append(o.Steps, protocol.Step{Name: e.Step.Name, At: e.At, Note: e.Step.Note})
+		}
+	case e.End != nil:
+		if o := b.operation(e.End.ID, e.End.Instance); o != nil {
+			o.State, o.Reason, o.Ended = e.End.State, e.End.Reason, e.At
+			if i := b.instances[e.End.Instance]; i != nil && i.Operation == e.End.ID {
+				i.Operation = ""
+			}
+		}
+	}
+}
+
+func (b *Book) release(c *Command) {
+	for _, name := range c.Instances {
+		if b.holders[name] == c {
+			delete(b.holders, name)
+		}
+	}
+}
+
+func (b *Book) open(at time.Time, o *Open) {
+	r := o.Request
+	c := b.commands[r.ID]
+	if c == nil {
+		c = &Command{Command: protocol.Command{ID: r.ID, Opened: at, Operations: []protocol.Operation{}}, Runs: map[string]string{}, Tries: map[string]int{}}
+		b.commands[r.ID] = c
+		b.order = append(b.order, r.ID)
+	} else {
+		b.release(c)
+		c.Resumes++
+	}
+	c.Kind, c.Operator, c.Plan, c.State, c.Reason = r.Kind, o.Operator, r.Plan, protocol.Open, ""
+	for _, s := range r.Instances {
+		if !slices.Contains(c.Instances, s.Name) {
+			c.Instances = append(c.Instances, s.Name)
+		}
+	}
+	for _, name := range c.Instances {
+		b.holders[name] = c
+	}
+	b.forget()
+}
+
+func (b *Book) begin(at time.Time, e *Begin) {
+	c := b.commands[e.ID]
+	i := b.instances[e.Instance]
+	if c == nil {
+		return
+	}
+	if i == nil {
+		i = &Instance{}
+		b.instances[e.Instance] = i
+	}
+	i.Generation++
+	i.Operation = e.ID
+	if c.Kind != protocol.Reload {
+		i.Up = c.Kind != protocol.Drain
+	}
+	c.Runs[e.Instance], c.Tries[e.Instance] = e.Run, c.Resumes
+	o := b.operation(e.ID, e.Instance)
+	if o == nil {
+		c.Operations = append(c.Operations, protocol.Operation{Command: c.ID, Kind: c.Kind, Instance: e.Instance, Began: at})
+		o = &c.Operations[len(c.Operations)-1]
+	}
+	o.Operator, o.Generation, o.State, o.Reason, o.Ended = c.Operator, i.Generation, protocol.Running, "", time.Time{}
+}
+
+// busy tells that an operation of a command is under way.
+func (b *Book) busy(c *Command) bool {
+	return slices.ContainsFunc(c.Operations, func(o protocol.Operation) bool { return o.State == protocol.Running })
+}
+
+// forget drops the oldest ended commands beyond CommandsMost.
+func (b *Book) forget() {
+	extra := len(b.order) - CommandsMost
+	if extra <= 0 {
+		return
+	}
+	b.order = slices.DeleteFunc(b.order, func(id string) bool {
+		c := b.commands[id]
+		if extra <= 0 || c.State == protocol.Open || b.busy(c) {
+			return false
+		}
+		extra--
+		delete(b.commands, id)
+		if made, err := protocol.IDTime(id); err == nil && !made.Before(b.horizon) {
+			b.horizon = made.Add(time.Millisecond)
+		}
+		return true
+	})
+}
+
+// Snapshot gives the whole book; it shares nothing with it.
+func (b *Book) Snapshot() *Snapshot {
+	s := &Snapshot{Instances: map[string]*Instance{}, Commands: make([]*Command, 0, len(b.order)), Horizon: b.horizon}
+	for name, i := range b.instances {
+		copied := *i
+		s.Instances[name] = &copied
+	}
+	for _, id := range b.order {
+		c := b.commands[id]
+		s.Commands = append(s.Commands, c.clone())
+	}
+	return s
+}
+
+func (b *Book) load(s *Snapshot) {
+	for name, i := range s.Instances {
+		copied := *i
+		b.instances[name] = &copied
+	}
+	b.commands, b.holders, b.order, b.horizon = map[string]*Command{}, map[string]*Command{}, nil, s.Horizon
+	for _, c := range s.Commands {
+		kept := c.clone()
+		b.commands[c.ID] = kept
+		b.order = append(b.order, c.ID)
+		if c.State == protocol.Open {
+			for _, name := range c.Instances {
+				b.holders[name] = kept
+			}
+		}
+	}
+}
+
+// Unfinished gives the operations under way, in the order of their instances.
+func (b *Book) Unfinished() []protocol.Operation {
+	var list []protocol.Operation
+	for _, id := range b.order {
+		for _, o := range b.commands[id].Operations {
+			if o.State == protocol.Running {
+				list = append(list, o)
+			}
+		}
+	}
+	slices.SortFunc(list, func(x, y protocol.Operation) int { return cmp.Compare(x.Instance, y.Instance) })
+	return list
+}
--- /dev/null
+++ b/internal/fleet/client/client.go
@@ -0,0 +1,175 @@
+// Package client calls one agent.
+package client
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"otterstep/internal/control"
+	"otterstep/internal/fleet/protocol"
+)
+
+// Client calls an agent. It may be used from several goroutines.
+type Client struct {
+	name string
+	base string
+	http *http.Transport
+}
+
+// New makes a client of the agent at an address: "unix:/path" or "https://host:port".
+// conf is for the latter.
+func New(name, address string, conf *tls.Config) (*Client, error) {
+	t := &http.Transport{TLSClientConfig: conf, MaxIdleConnsPerHost: 16, IdleConnTimeout: 10 * time.Second}
+	c := &Client{name: name, http: t}
+	if path, ok := strings.CutPrefix(address, "unix:"); ok && path != "" {
+		c.base = "http://agent"
+		t.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "unix", path)
+		}
+		return c, nil
+	}
+	u, err := url.Parse(address)
+	if err != nil || u.Scheme != "https" || u.Host == "" || strings.Trim(u.Path, "/") != "" {
+		return nil, fmt.Errorf("agent %s: address %q is neither unix:/path nor https://host:port", name, address)
+	}
+	if conf == nil {
+		return nil, fmt.Errorf("agent %s: %s needs ca, cert and key", name, address)
+	}
+	c.base = "https://" + u.Host
+	return c, nil
+}
+
+// Name is the agent's, as the operator's list has it.
+func (c *Client) Name() string { return c.name }
+
+// Close lets go of idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Unanswered means that an agent gave no answer that can be used: whether it did
+// what it was asked is not known.
+type Unanswered struct {
+	Agent  string
+	Waited time.Duration
+	Err    error
+}
+
+func (e *Unanswered) Error() string {
+	return fmt.Sprintf("agent %s did not answer in %v: %v", e.Agent, e.Waited.Round(time.Millisecond), e.Err)
+}
+
+// Unwrap gives the cause.
+func (e *Unanswered) Unwrap() error { return e.Err }
+
+// call makes a call. An error is a *protocol.Error, the agent's own, or an
+// *Unanswered.
+func (c *Client) call(ctx context.Context, method, path string, body, into any) error {
+	began := time.Now()
+	err := c.try(ctx, method, path, body, into)
+	var refused *protocol.Error
+	if err == nil || errors.As(err, &refused) {
+		return err
+	}
+	return &Unanswered{c.name, time.Since(began), err}
+}
+
+func (c *Client) try(ctx context.Context, method, path string, body, into any) error {
+	var text io.Reader = http.NoBody
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		text = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+"/v"+strconv.Itoa(protocol.Version)+path, text)
+	if err != nil {
+		return err
+	}
+	req.Header.Set(protocol.VersionHeader, strconv.Itoa(protocol.Version))
+	resp, err := c.http.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, protocol.AnswerMost+1))
+	switch v := resp.Header.Get(protocol.VersionHeader); {
+	case err != nil:
+		return err
+	case len(answer) > protocol.AnswerMost:
+		return fmt.Errorf("an answer of over %d bytes", protocol.AnswerMost)
+	case resp.StatusCode/100 != 2:
+		e := &protocol.Error{}
+		if err := json.Unmarshal(answer, e); err != nil || e.Code == "" {
+			return fmt.Errorf("answered %s and no word of an agent's: %.80q", resp.Status, answer)
+		}
+		return e
+	case v != strconv.Itoa(protocol.Version):
+		return protocol.Errorf(protocol.CodeVersion, "answers in protocol version %q, this tool speaks version %d: bring tool and agent to one version", v, protocol.Version)
+	}
+	if err := json.Unmarshal(answer, into); err != nil {
+		return fmt.Errorf("an answer that can't be read: %w", err)
+	}
+	return nil
+}
+
+// Agent asks for the agent's own state.
+func (c *Client) Agent(ctx context.Context) (a protocol.Agent, err error) {
+	return a, c.call(ctx, http.MethodGet, "/agent", nil, &a)
+}
+
+// Instances asks for the instances.
+func (c *Client) Instances(ctx context.Context) (list []protocol.Instance, err error) {
+	return list, c.call(ctx, http.MethodGet, "/instances", nil, &list)
+}
+
+// Inspect asks what an instance is doing.
+func (c *Client) Inspect(ctx context.Context, instance string) (i control.Inspection, err error) {
+	return i, c.call(ctx, http.MethodGet, "/instances/"+url.PathEscape(instance)+"/inspect", nil, &i)
+}
+
+// Commands asks for the latest commands.
+func (c *Client) Commands(ctx context.Context) (list []protocol.Command, err error) {
+	return list, c.call(ctx, http.MethodGet, "/commands", nil, &list)
+}
+
+// Open opens a command.
+func (c *Client) Open(ctx context.Context, r protocol.CommandRequest) (k protocol.Command, err error) {
+	return k, c.call(ctx, http.MethodPost, "/commands", r, &k)
+}
+
+// Renew renews a command's lease.
+func (c *Client) Renew(ctx context.Context, id string) (k protocol.Command, err error) {
+	return k, c.call(ctx, http.MethodPost, "/commands/"+id+"/renew", nil, &k)
+}
+
+// CloseCommand ends a command and frees its instances.
+func (c *Client) CloseCommand(ctx context.Context, id, reason string) (k protocol.Command, err error) {
+	return k, c.call(ctx, http.MethodPost, "/commands/"+id+"/close", protocol.CloseRequest{Reason: reason}, &k)
+}
+
+// Abort ends a command, whoever gave it.
+func (c *Client) Abort(ctx context.Context, id string) (k protocol.Command, err error) {
+	return k, c.call(ctx, http.MethodPost, "/commands/"+id+"/abort", nil, &k)
+}
+
+// Run begins a command's operation on an instance, or finds it begun.
+func (c *Client) Run(ctx context.Context, id, instance string) (o protocol.Operation, err error) {
+	return o, c.call(ctx, http.MethodPost, "/commands/"+id+"/run/"+url.PathEscape(instance), nil, &o)
+}
+
+// Wait waits for an operation's end, for so long at most.
+func (c *Client) Wait(ctx context.Context, id, instance string, wait time.Duration) (o protocol.Operation, err error) {
+	path := fmt.Sprintf("/commands/%s/run/%s?wait=%d", id, url.PathEscape(instance), wait.Milliseconds())
+	return o, c.call(ctx, http.MethodGet, path, nil, &o)
+}
--- /dev/null
+++ b/internal/fleet/ctl/ctl.go
@@ -0,0 +1,414 @@
+// Package ctl is otterctl's command line.
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"otterstep/internal/buildinfo"
+	"otterstep/internal/cli"
+	"otterstep/internal/fleet/group"
+	"otterstep/internal/fleet/pki"
+	"otterstep/internal/fleet/protocol"
+)
+
+// fleetVar names the fleet's file where no flag does.
+const fleetVar = "OTTERCTL_FLEET"
+
+// options are the flags that commands share.
+type options struct {
+	fleet   string
+	output  string
+	timeout time.Duration
+	dryRun  bool
+	group   string
+	labels  []string
+}
+
+// Command builds the command line.
+func Command() *cobra.Command {
+	root := &cobra.Command{
+		Use: "otterctl", Short: "Looks at many instances and commands them as one group", Version: buildinfo.Version(),
+		Long: `Looks at many instances and commands them as one group.
+
+Exit codes: 0 all done, 1 some failed, 2 wrong usage (nothing was done), 3 some did
+not answer, 4 another command came first (nothing was done).`,
+	}
+	o := &options{}
+	root.PersistentFlags().StringVar(&o.fleet, "fleet", "", "`file` that lists the agents; $"+fleetVar+" or fleet.toml if not given")
+	root.PersistentFlags().StringVarP(&o.output, "output", "o", "table", "table, wide or json")
+	root.PersistentFlags().DurationVar(&o.timeout, "timeout", 30*time.Second, "for the whole command, however many agents hang")
+	root.AddCommand(o.list(), o.inspect(), o.agents(), o.watch(), o.ops(), pkiCommand())
+	for kind, short := range map[string]string{
+		protocol.Start:   "Start instances and wait until they serve",
+		protocol.Drain:   "Have instances drain and end, and leave them down",
+		protocol.Restart: "Restart instances, all at once; see rollout for a few at a time",
+		protocol.Reload:  "Have instances read their configuration again",
+	} {
+		root.AddCommand(o.order(kind, short))
+	}
+	rollout := &cobra.Command{Use: "rollout", Short: "Command a group a few instances at a time"}
+	rollout.AddCommand(o.rollout())
+	root.AddCommand(rollout)
+	return root
+}
+
+func usage(format string, args ...any) error {
+	return &cli.Exit{Code: cli.Usage, Err: fmt.Errorf(format, args...)}
+}
+
+// open reads the fleet's file and checks the shared flags.
+func (o *options) open() (*group.Fleet, error) {
+	switch o.output {
+	case "table", "wide", "json":
+	default:
+		return nil, usage("-o %q: table, wide or json", o.output)
+	}
+	if o.timeout <= 0 {
+		return nil, usage("--timeout %v: no time at all", o.timeout)
+	}
+	path := o.fleet
+	if path == "" {
+		path = os.Getenv(fleetVar)
+	}
+	if path == "" {
+		path = "fleet.toml"
+	}
+	f, err := group.Load(path)
+	if err != nil {
+		return nil, &cli.Exit{Code: cli.Usage, Err: err}
+	}
+	return f, nil
+}
+
+// with runs a command on the fleet within the time limit.
+func (o *options) with(c *cobra.Command, do func(ctx context.Context, f *group.Fleet) error) error {
+	f, err := o.open()
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	ctx, cancel := context.WithTimeout(c.Context(), o.timeout)
+	defer cancel()
+	return do(ctx, f)
+}
+
+func (o *options) selecting(c *cobra.Command) {
+	c.Flags().StringVar(&o.group, "group", "", "only instances of this group")
+	c.Flags().StringArrayVar(&o.labels, "label", nil, "only instances with this label, as `key=value`; may be given again")
+	c.ValidArgsFunction = o.complete
+}
+
+func (o *options) selector(names []string) (group.Selector, error) {
+	s := group.Selector{Names: names, Group: o.group, Labels: map[string]string{}}
+	for _, l := range o.labels {
+		k, v, ok := strings.Cut(l, "=")
+		if !ok || k == "" {
+			return s, usage("--label %q: not of the form key=value", l)
+		}
+		s.Labels[k] = v
+	}
+	return s, nil
+}
+
+// complete offers instances' names to the shell.
+func (o *options) complete(c *cobra.Command, _ []string, start string) ([]string, cobra.ShellCompDirective) {
+	f, err := o.open()
+	if err != nil {
+		return nil, cobra.ShellCompDirectiveError
+	}
+	defer f.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	names := []string{}
+	for _, r := range append(f.List(ctx).Rows, group.Row{Instance: protocol.Instance{Name: "all"}}) {
+		if strings.HasPrefix(r.Name, start) {
+			names = append(names, r.Name)
+		}
+	}
+	return names, cobra.ShellCompDirectiveNoFileComp
+}
+
+func (o *options) list() *cobra.Command {
+	c := &cobra.Command{Use: "list [NAME…]", Short: "List instances"}
+	o.selecting(c)
+	c.RunE = func(c *cobra.Command, names []string) error {
+		s, err := o.selector(names)
+		if err != nil {
+			return err
+		}
+		return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+			l := f.List(ctx)
+			if !s.Empty() {
+				rows, err := l.Select(s)
+				if err != nil && len(l.Silent) == 0 {
+					return &cli.Exit{Code: cli.Usage, Err: err}
+				}
+				l.Rows = append([]group.Row{}, rows...)
+			}
+			return o.show(c.OutOrStdout(), l, func(p *printer) { p.rows(l.Rows); p.silent(l.Silent) }, len(l.Silent) > 0)
+		})
+	}
+	return c
+}
+
+func (o *options) inspect() *cobra.Command {
+	c := &cobra.Command{Use: "inspect NAME…", Short: "Show what instances are doing, down to their servers"}
+	o.selecting(c)
+	c.RunE = func(c *cobra.Command, names []string) error {
+		s, err := o.selector(names)
+		if err != nil {
+			return err
+		}
+		if s.Empty() {
+			return usage("inspect: name instances, or all")
+		}
+		return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+			l := f.List(ctx)
+			rows, err := l.Select(s)
+			if err != nil && len(l.Silent) == 0 {
+				return &cli.Exit{Code: cli.Usage, Err: err}
+			}
+			all := f.Inspect(ctx, rows)
+			silent, failed := len(l.Silent) > 0, false
+			for _, i := range all {
+				silent = silent || i.Silent
+				failed = failed || i.Err != "" && !i.Silent
+			}
+			answer := struct {
+				Instances []group.Inspected `json:"instances"`
+				Silent    []group.Silent    `json:"silent"`
+			}{all, l.Silent}
+			err = o.show(c.OutOrStdout(), answer, func(p *printer) { p.inspected(all); p.silent(l.Silent) }, silent)
+			if failed {
+				return &cli.Exit{Code: cli.Failed}
+			}
+			return err
+		})
+	}
+	return c
+}
+
+func (o *options) agents() *cobra.Command {
+	return &cobra.Command{
+		Use: "agents", Short: "List the agents", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+				agents, silent := f.Agents(ctx)
+				answer := struct {
+					Agents []protocol.Agent `json:"agents"`
+					Silent []group.Silent   `json:"silent"`
+				}{agents, silent}
+				return o.show(c.OutOrStdout(), answer, func(p *printer) { p.agents(agents); p.silent(silent) }, len(silent) > 0)
+			})
+		},
+	}
+}
+
+// order is a command that goes to all instances at once.
+func (o *options) order(kind, short string) *cobra.Command {
+	c := &cobra.Command{Use: kind + " NAME…", Short: short}
+	o.selecting(c)
+	c.Flags().BoolVar(&o.dryRun, "dry-run", false, "say what would be done, and do nothing")
+	c.RunE = func(c *cobra.Command, names []string) error {
+		return o.give(c, names, group.Order{Plan: group.Plan{Kind: kind}})
+	}
+	return c
+}
+
+func (o *options) rollout() *cobra.Command {
+	c := &cobra.Command{
+		Use: "restart NAME…", Short: "Restart a group a few instances at a time, and stop when it gets worse",
+	}
+	o.selecting(c)
+	c.Flags().BoolVar(&o.dryRun, "dry-run", false, "say what would be done, and do nothing")
+	most := c.Flags().Int("max-unavailable", 1, "instances of the group that may be away at once, for whatever reason")
+	pause := c.Flags().Duration("pause", 0, "between an instance's return and the next one's turn")
+	c.RunE = func(c *cobra.Command, names []string) error {
+		if *most < 1 || *pause < 0 {
+			return usage("--max-unavailable must be 1 or more, --pause not negative")
+		}
+		if !c.Flags().Changed("timeout") {
+			o.timeout = 10 * time.Minute
+		}
+		return o.give(c, names, group.Order{Plan: group.Plan{Kind: protocol.Restart, MaxUnavailable: *most, Pause: *pause}})
+	}
+	return c
+}
+
+// give gives an order and reports on it.
+func (o *options) give(c *cobra.Command, names []string, order group.Order) error {
+	s, err := o.selector(names)
+	if err != nil {
+		return err
+	}
+	if s.Empty() && order.Resume == "" {
+		return usage("%s: name instances, or all, or narrow them down by --group or --label", c.CommandPath())
+	}
+	order.Select, order.DryRun = s, o.dryRun
+	return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+		progress := newProgress(c.ErrOrStderr(), o.output != "json")
+		order.Progress = progress.result
+		r, err := f.Give(ctx, order)
+		progress.end()
+		if err != nil {
+			return &cli.Exit{Code: cli.Usage, Err: err}
+		}
+		if err := o.show(c.OutOrStdout(), r, func(p *printer) { p.report(r) }, false); err != nil {
+			return err
+		}
+		if code := Code(r); code != cli.OK {
+			return &cli.Exit{Code: code}
+		}
+		return nil
+	})
+}
+
+// Code gives the exit code of a report.
+func Code(r *group.Report) int {
+	if r.Conflict != nil {
+		return cli.Conflict
+	}
+	code := cli.OK
+	if len(r.Silent) > 0 {
+		code = cli.Silent
+	}
+	for _, one := range r.Results {
+		switch one.Outcome {
+		case group.Failed:
+			return cli.Failed
+		case group.Silence:
+			code = cli.Silent
+		}
+	}
+	if r.Stopped != "" && code == cli.OK {
+		code = cli.Failed
+	}
+	return code
+}
+
+func (o *options) ops() *cobra.Command {
+	ops := &cobra.Command{Use: "ops", Short: "Look at commands that were given, and end or resume them"}
+	ops.AddCommand(
+		&cobra.Command{
+			Use: "list", Short: "List the latest commands", Args: cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error {
+				return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+					parts, silent := f.Commands(ctx)
+					return o.showParts(c, parts, silent, func(p *printer) { p.commands(parts) })
+				})
+			},
+		},
+		&cobra.Command{
+			Use: "show ID", Short: "Show a command with its operations and their steps", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+					all, silent := f.Commands(ctx)
+					parts := []group.Part{}
+					for _, p := range all {
+						if p.ID == args[0] {
+							parts = append(parts, p)
+						}
+					}
+					if len(parts) == 0 && len(silent) == 0 {
+						return usage("no agent knows of command %s", args[0])
+					}
+					return o.showParts(c, parts, silent, func(p *printer) { p.steps(parts) })
+				})
+			},
+		},
+		&cobra.Command{
+			Use: "resume ID", Short: "Take a command up again: what is done stays done, the rest is carried out", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				if !c.Flags().Changed("timeout") {
+					o.timeout = 10 * time.Minute
+				}
+				return o.give(c, nil, group.Order{Resume: args[0]})
+			},
+		},
+		&cobra.Command{
+			Use: "abort ID", Short: "End a command: no further instance is begun, what was interrupted is given up", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+					parts, silent := f.Abort(ctx, args[0])
+					if len(parts) == 0 && len(silent) == 0 {
+						return usage("no agent knows of command %s", args[0])
+					}
+					return o.showParts(c, parts, silent, func(p *printer) { p.commands(parts) })
+				})
+			},
+		})
+	return ops
+}
+
+func (o *options) showParts(c *cobra.Command, parts []group.Part, silent []group.Silent, table func(*printer)) error {
+	answer := struct {
+		Commands []group.Part   `json:"commands"`
+		Silent   []group.Silent `json:"silent"`
+	}{parts, silent}
+	return o.show(c.OutOrStdout(), answer, func(p *printer) { table(p); p.silent(silent) }, len(silent) > 0)
+}
+
+func pkiCommand() *cobra.Command {
+	root := &cobra.Command{Use: "pki", Short: "Make a fleet's authority and certificates"}
+	folder := "pki"
+	root.PersistentFlags().StringVar(&folder, "dir", folder, "`folder` of the authority")
+	name := "fleet"
+	make := &cobra.Command{
+		Use: "init", Short: "Make an authority: ca.pem to hand out, ca.key to keep", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := pki.Init(folder, name, time.Now()); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), filepath.Join(folder, "ca.pem"))
+			return nil
+		},
+	}
+	make.Flags().StringVar(&name, "name", name, "the authority's name")
+	r := pki.Request{}
+	issue := &cobra.Command{
+		Use: "issue NAME", Short: "Make NAME.pem and NAME.key for an agent or an operator", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			r.Name = args[0]
+			if err := pki.Issue(folder, r, time.Now()); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), filepath.Join(folder, r.Name+".pem"))
+			return nil
+		},
+	}
+	issue.Flags().StringVar(&r.Role, "role", pki.Viewer, "viewer, operator or agent")
+	issue.Flags().StringSliceVar(&r.Hosts, "host", nil, "an agent's names and addresses")
+	issue.Flags().DurationVar(&r.For, "for", 90*24*time.Hour, "how long it is valid")
+	root.AddCommand(make, issue)
+	return root
+}
+
+// watch shows a live table on a terminal, and a line for each change elsewhere.
+func (o *options) watch() *cobra.Command {
+	c := &cobra.Command{Use: "watch [NAME…]", Short: "Watch instances until interrupted"}
+	o.selecting(c)
+	every := c.Flags().Duration("every", time.Second, "between two looks")
+	c.RunE = func(c *cobra.Command, names []string) error {
+		s, err := o.selector(names)
+		if err != nil {
+			return err
+		}
+		if *every < 100*time.Millisecond {
+			return usage("--every %v: at least 100ms", *every)
+		}
+		f, err := o.open()
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		return o.follow(c.Context(), c.OutOrStdout(), f, s, *every)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/fleet/ctl/print.go
@@ -0,0 +1,314 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"otterstep/internal/cli"
+	"otterstep/internal/fleet/group"
+	"otterstep/internal/fleet/protocol"
+)
+
+// show writes an answer in the form that was asked for. silent makes the exit code
+// say that some did not answer.
+func (o *options) show(w io.Writer, answer any, table func(*printer), silent bool) error {
+	if o.output == "json" {
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		if err := e.Encode(answer); err != nil {
+			return err
+		}
+	} else {
+		p := newPrinter(w, o.output == "wide")
+		table(p)
+		p.tab.Flush()
+	}
+	if silent {
+		return &cli.Exit{Code: cli.Silent}
+	}
+	return nil
+}
+
+// printer writes tables.
+type printer struct {
+	tab  *tabwriter.Writer
+	wide bool
+	now  time.Time
+}
+
+func newPrinter(w io.Writer, wide bool) *printer {
+	return &printer{tabwriter.NewWriter(w, 0, 0, 2, ' ', 0), wide, time.Now()}
+}
+
+// line writes a row; an empty cell is shown as a dash. What agents say is shown
+// without control characters, which could rewrite a terminal.
+func (p *printer) line(cells ...any) {
+	for n, c := range cells {
+		text := clean(fmt.Sprint(c))
+		if text == "" {
+			text = "-"
+		}
+		if n > 0 {
+			fmt.Fprint(p.tab, "\t")
+		}
+		fmt.Fprint(p.tab, text)
+	}
+	fmt.Fprintln(p.tab)
+}
+
+func clean(text string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f || r >= 0x80 && r < 0xa0 {
+			return '?'
+		}
+		return r
+	}, text)
+}
+
+func (p *printer) age(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return p.now.Sub(t).Round(time.Second).String()
+}
+
+func labels(m map[string]string) string {
+	var all []string
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		all = append(all, k+"="+m[k])
+	}
+	return strings.Join(all, ",")
+}
+
+func (p *printer) rows(rows []group.Row) {
+	if p.wide {
+		p.line("AGENT", "INSTANCE", "GROUP", "STATE", "SINCE", "DESIRED", "PID", "LISTEN", "GEN", "CRASHES", "LABELS", "HELD BY", "MESSAGE")
+	} else {
+		p.line("AGENT", "INSTANCE", "GROUP", "STATE", "SINCE", "HELD BY", "MESSAGE")
+	}
+	for _, r := range rows {
+		held := ""
+		if r.Holder != nil {
+			held = r.Holder.Operator + " (" + r.Holder.Kind + ")"
+		}
+		if p.wide {
+			p.line(r.Agent, r.Name, r.Group, r.State, p.age(r.Since), r.Desired, r.Pid, r.Listen, r.Generation, r.Crashes, labels(r.Labels), held, r.Message)
+		} else {
+			p.line(r.Agent, r.Name, r.Group, r.State, p.age(r.Since), held, r.Message)
+		}
+	}
+}
+
+func (p *printer) silent(silent []group.Silent) {
+	if len(silent) == 0 {
+		return
+	}
+	fmt.Fprintln(p.tab)
+	p.line("DID NOT ANSWER", "WAITED", "WHY")
+	for _, s := range silent {
+		p.line(s.Agent, s.Waited.Round(time.Millisecond), s.Why)
+	}
+}
+
+func (p *printer) agents(agents []protocol.Agent) {
+	p.line("AGENT", "VERSION", "PROTOCOL", "UP FOR", "INSTANCES", "RECORD", "REFUSED")
+	for _, a := range agents {
+		var refused []string
+		for _, cause := range slices.Sorted(maps.Keys(a.Refused)) {
+			refused = append(refused, fmt.Sprintf("%s %d", cause, a.Refused[cause]))
+		}
+		p.line(a.Name, a.Version, a.Protocol, p.age(a.Started), a.Instances, a.Record, strings.Join(refused, ", "))
+	}
+}
+
+func (p *printer) inspected(all []group.Inspected) {
+	for n, i := range all {
+		if n > 0 {
+			fmt.Fprintln(p.tab)
+		}
+		if i.Inspection == nil {
+			p.line(i.Agent+"/"+i.Name, i.State, fmt.Sprintf("no inspection after %v: %s", i.Waited.Round(time.Millisecond), i.Err))
+			continue
+		}
+		v := i.Inspection
+		p.line(i.Agent+"/"+i.Name, v.State, "up "+p.age(v.Started), "version "+v.Version, "listen "+v.Listen)
+		p.line("requests", fmt.Sprintf("open %d", v.Open), fmt.Sprintf("held %d", v.Held), fmt.Sprintf("attempts %d", v.Attempts))
+		p.line("clients", fmt.Sprintf("connections %d of %d", v.Clients.Connections, v.Clients.Most), fmt.Sprintf("idle %d", v.Clients.Idle), fmt.Sprintf("silent %d", v.Clients.Silent))
+		p.line("process", fmt.Sprintf("descriptors %d of %d", v.Descriptors.Open, v.Descriptors.Limit), fmt.Sprintf("heap %d KiB", v.Memory.Heap>>10), fmt.Sprintf("memory %d KiB of %d", v.Memory.Total>>10, v.Memory.Limit>>10), fmt.Sprintf("reloads %d %s", v.Reloads, v.ReloadError))
+		p.line("CLASS", "SERVED", "REFUSED", "FAILED", "OVERDUE", "LEFT")
+		for _, class := range slices.Sorted(maps.Keys(v.Counts)) {
+			c := v.Counts[class]
+			p.line(class, c["served"], c["refused"], c["failed"], c["overdue"], c["left"])
+		}
+		p.line("SERVER", "BREAKER", "SCORE", "IN FLIGHT", "SUCCESS", "JUDGED")
+		for _, s := range v.Servers {
+			breaker := s.Breaker
+			if s.Breaker == "open" {
+				breaker += fmt.Sprintf(" for %v", (time.Duration(s.ReopenMs) * time.Millisecond).Round(100*time.Millisecond))
+			}
+			p.line(s.Endpoint, breaker, fmt.Sprintf("%.2f", s.Score), s.InFlight, fmt.Sprintf("%.2f", s.Success), s.Judged)
+		}
+	}
+}
+
+func (p *printer) report(r *group.Report) {
+	p.line("AGENT", "INSTANCE", "OUTCOME", "TOOK", "")
+	for _, one := range r.Results {
+		p.line(one.Agent, one.Instance, one.Outcome, one.Took.Round(time.Millisecond), one.Text)
+	}
+	p.silent(r.Silent)
+	fmt.Fprintln(p.tab)
+	if r.Conflict != nil {
+		fmt.Fprintf(p.tab, "conflict, nothing was done: %s\n", clean(r.Conflict.Text))
+		if h := r.Holder; h != nil {
+			fmt.Fprintf(p.tab, "held by %s for %s %s since %s (%s)\n", clean(h.Operator), clean(h.Kind), clean(h.Command), h.Since.Format(time.RFC3339), p.age(h.Since))
+		}
+	}
+	if r.Stopped != "" {
+		fmt.Fprintf(p.tab, "stopped: %s\n", clean(r.Stopped))
+	}
+	fmt.Fprintf(p.tab, "command %s\n", r.ID)
+}
+
+func (p *printer) commands(parts []group.Part) {
+	p.line("COMMAND", "KIND", "AGENT", "STATE", "OPENED", "OPERATOR", "INSTANCES", "OPERATIONS", "REASON")
+	for _, c := range parts {
+		by := map[string]int{}
+		for _, o := range c.Operations {
+			by[o.State]++
+		}
+		var ops []string
+		for _, state := range slices.Sorted(maps.Keys(by)) {
+			ops = append(ops, fmt.Sprintf("%d %s", by[state], state))
+		}
+		p.line(c.ID, c.Kind, c.Agent, c.State, p.age(c.Opened)+" ago", c.Operator, len(c.Instances), strings.Join(ops, ", "), c.Reason)
+	}
+}
+
+func (p *printer) steps(parts []group.Part) {
+	p.commands(parts)
+	for _, c := range parts {
+		for _, o := range c.Operations {
+			fmt.Fprintln(p.tab)
+			p.line(c.Agent+"/"+o.Instance, o.Kind, o.State, fmt.Sprintf("generation %d", o.Generation), o.Reason)
+			for _, s := range o.Steps {
+				p.line("", s.Name, s.At.Format("15:04:05.000"), s.Note)
+			}
+		}
+	}
+}
+
+// progress tells how a command goes on: one line that changes on a terminal, a line
+// for each instance elsewhere.
+type progress struct {
+	w        io.Writer
+	on       bool
+	terminal bool
+	counts   map[string]int
+}
+
+func newProgress(w io.Writer, on bool) *progress {
+	return &progress{w, on, terminal(w), map[string]int{}}
+}
+
+func terminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	_, err := unix.IoctlGetTermios(int(f.Fd()), unix.TCGETS)
+	return err == nil
+}
+
+// result is called by one goroutine at a time.
+func (p *progress) result(r group.Result) {
+	if !p.on {
+		return
+	}
+	p.counts[r.Outcome]++
+	if !p.terminal {
+		fmt.Fprintf(p.w, "%s/%s %s %s\n", r.Agent, r.Instance, r.Outcome, clean(r.Text))
+		return
+	}
+	var all []string
+	for _, outcome := range slices.Sorted(maps.Keys(p.counts)) {
+		all = append(all, fmt.Sprintf("%d %s", p.counts[outcome], outcome))
+	}
+	fmt.Fprintf(p.w, "\r\033[K%s", strings.Join(all, ", "))
+}
+
+func (p *progress) end() {
+	if p.on && p.terminal && len(p.counts) > 0 {
+		fmt.Fprintln(p.w)
+	}
+}
+
+// follow is watch.
+func (o *options) follow(ctx context.Context, w io.Writer, f *group.Fleet, s group.Selector, every time.Duration) error {
+	live := terminal(w)
+	last := map[string]string{}
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		limit, cancel := context.WithTimeout(ctx, every)
+		l := f.List(limit)
+		cancel()
+		if ctx.Err() != nil {
+			return nil // interrupted, as it is meant to end
+		}
+		if !s.Empty() {
+			rows, err := l.Select(s)
+			if err != nil && len(l.Silent) == 0 {
+				return &cli.Exit{Code: cli.Usage, Err: err}
+			}
+			l.Rows = rows
+		}
+		if live {
+			fmt.Fprint(w, "\033[H\033[2J")
+			p := newPrinter(w, o.output == "wide")
+			p.rows(l.Rows)
+			p.silent(l.Silent)
+			p.tab.Flush()
+		} else {
+			changes(w, last, l)
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// changes writes a line for whatever differs from the last look.
+func changes(w io.Writer, last map[string]string, l group.Listing) {
+	now := map[string]string{}
+	for _, r := range l.Rows {
+		now[r.Agent+"/"+r.Name] = strings.TrimSpace(fmt.Sprintf("%s generation %d %s", r.State, r.Generation, r.Message))
+	}
+	for _, s := range l.Silent {
+		now[s.Agent] = "did not answer: " + s.Why
+	}
+	for _, what := range slices.Sorted(maps.Keys(now)) {
+		if last[what] != now[what] {
+			fmt.Fprintf(w, "%s %s %s\n", time.Now().Format("15:04:05"), what, clean(now[what]))
+		}
+	}
+	for _, what := range slices.Sorted(maps.Keys(last)) {
+		if _, still := now[what]; !still {
+			fmt.Fprintf(w, "%s %s is not seen any more\n", time.Now().Format("15:04:05"), what)
+		}
+	}
+	clear(last)
+	maps.Copy(last, now)
+}
--- /dev/null
+++ b/internal/fleet/group/config.go
@@ -0,0 +1,94 @@
+// Package group commands many instances through many agents as one.
+package group
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"path/filepath"
+
+	"otterstep/internal/fleet/client"
+	"otterstep/internal/fleet/pki"
+	"otterstep/internal/fleet/protocol"
+	"otterstep/internal/tomlfile"
+)
+
+// agentsMost bounds the agents of a fleet.
+const agentsMost = 1000
+
+type fleetFile struct {
+	CA    string `toml:"ca"`
+	Cert  string `toml:"cert"`
+	Key   string `toml:"key"`
+	Agent []struct {
+		Name    string `toml:"name"`
+		Address string `toml:"address"`
+	} `toml:"agent"`
+}
+
+// Fleet is the agents that an operator looks after, in the order of their names.
+type Fleet struct{ agents []*client.Client }
+
+// Load reads the operator's list of agents. Relative paths are taken from its folder.
+func Load(path string) (*Fleet, error) {
+	var file fleetFile
+	f, err := tomlfile.Load(path, &file)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	var conf *tls.Config
+	switch {
+	case file.CA != "" && file.Cert != "" && file.Key != "":
+		at := func(p string) string {
+			if filepath.IsAbs(p) {
+				return p
+			}
+			return filepath.Join(filepath.Dir(path), p)
+		}
+		if conf, err = pki.ClientConfig(at(file.CA), at(file.Cert), at(file.Key)); err != nil {
+			f.Bad("cert", "%v", err)
+		}
+	case file.CA != "" || file.Cert != "" || file.Key != "":
+		f.Bad("ca", "ca, cert and key go together")
+	}
+	if len(file.Agent) == 0 || len(file.Agent) > agentsMost {
+		f.Bad("agent", "%d are given, 1 to %d can be", len(file.Agent), agentsMost)
+	}
+	fleet := &Fleet{}
+	names := map[string]bool{}
+	for n, a := range file.Agent {
+		key := func(name string) string { return fmt.Sprintf("agent[%d].%s", n+1, name) }
+		switch {
+		case !protocol.Name.MatchString(a.Name):
+			f.Bad(key("name"), "%q is no name", a.Name)
+			continue
+		case names[a.Name]:
+			f.Bad(key("name"), "%q is given twice", a.Name)
+			continue
+		}
+		names[a.Name] = true
+		c, err := client.New(a.Name, a.Address, conf)
+		if err != nil {
+			f.Bad(key("address"), "%v", err)
+			continue
+		}
+		fleet.agents = append(fleet.agents, c)
+	}
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return New(fleet.agents), nil
+}
+
+// Close lets go of connections.
+func (f *Fleet) Close() {
+	for _, a := range f.agents {
+		a.Close()
+	}
+}
+
+// ErrNone means that a selection names no instance.
+var ErrNone = errors.New("the selection names no instance")
--- /dev/null
+++ b/internal/fleet/pki/pki.go
@@ -0,0 +1,242 @@
+// Package pki makes and checks the certificates of a fleet: one authority, one
+// certificate for each agent and each operator. A certificate's common name is who
+// it is for, its organizational unit the role. TLS is 1.3 (RFC 8446) and mutual.
+package pki
+
+import (
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"time"
+)
+
+// The roles.
+const (
+	Viewer   = "viewer"   // may look
+	Operator = "operator" // may look and command
+	Agent    = "agent"    // answers tools
+)
+
+const (
+	caFor = 10 * 365 * 24 * time.Hour
+	// slack is how far back a certificate is valid, as clocks differ.
+	slack = 5 * time.Minute
+
+	caCert, caKey = "ca.pem", "ca.key"
+)
+
+var nameForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._@-]{0,62}$`)
+
+// Init makes an authority in a folder: ca.pem, to be handed out, and ca.key, to be
+// kept. It replaces nothing.
+func Init(folder, name string, now time.Time) error {
+	if !nameForm.MatchString(name) {
+		return fmt.Errorf("pki: %q is no name", name)
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return fmt.Errorf("pki: %w", err)
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return fmt.Errorf("pki: %w", err)
+	}
+	c, err := template(name, "authority", now, caFor)
+	if err != nil {
+		return err
+	}
+	c.IsCA, c.BasicConstraintsValid, c.MaxPathLenZero = true, true, true
+	c.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, c, c, key.Public(), key)
+	if err != nil {
+		return fmt.Errorf("pki: %w", err)
+	}
+	return save(filepath.Join(folder, caCert), filepath.Join(folder, caKey), der, key)
+}
+
+// Request says what to issue.
+type Request struct {
+	Name  string
+	Role  string
+	Hosts []string // Agent: the names and addresses at which tools reach it
+	For   time.Duration
+}
+
+// Issue makes NAME.pem and NAME.key in the authority's folder. It replaces nothing.
+func Issue(folder string, r Request, now time.Time) error {
+	switch {
+	case !nameForm.MatchString(r.Name) || r.Name == "ca":
+		return fmt.Errorf("pki: %q is no name", r.Name)
+	case !slices.Contains([]string{Viewer, Operator, Agent}, r.Role):
+		return fmt.Errorf("pki: unknown role %q: %s, %s or %s", r.Role, Viewer, Operator, Agent)
+	case r.Role == Agent && len(r.Hosts) == 0:
+		return errors.New("pki: an agent's certificate needs the names or addresses at which tools reach it")
+	case r.Role != Agent && len(r.Hosts) > 0:
+		return fmt.Errorf("pki: a %s has no names or addresses", r.Role)
+	case r.For <= 0:
+		return fmt.Errorf("pki: valid for %v: no time at all", r.For)
+	}
+	ca, err := tls.LoadX509KeyPair(filepath.Join(folder, caCert), filepath.Join(folder, caKey))
+	if err != nil {
+		return fmt.Errorf("pki: authority: %w", err)
+	}
+	c, err := template(r.Name, r.Role, now, r.For)
+	if err != nil {
+		return err
+	}
+	c.KeyUsage = x509.KeyUsageDigitalSignature
+	c.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	if r.Role == Agent {
+		c.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}
+	}
+	for _, host := range r.Hosts {
+		if ip := net.ParseIP(host); ip != nil {
+			c.IPAddresses = append(c.IPAddresses, ip)
+		} else {
+			c.DNSNames = append(c.DNSNames, host)
+		}
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return fmt.Errorf("pki: %w", err)
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, ca.Leaf, key.Public(), ca.PrivateKey.(crypto.Signer))
+	if err != nil {
+		return fmt.Errorf("pki: %w", err)
+	}
+	return save(filepath.Join(folder, r.Name+".pem"), filepath.Join(folder, r.Name+".key"), der, key)
+}
+
+func template(name, unit string, now time.Time, valid time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 127))
+	if err != nil {
+		return nil, fmt.Errorf("pki: %w", err)
+	}
+	return &x509.Certificate{
+		SerialNumber: serial, Subject: pkix.Name{CommonName: name, OrganizationalUnit: []string{unit}},
+		NotBefore: now.Add(-slack), NotAfter: now.Add(valid),
+	}, nil
+}
+
+// save writes a certificate and its key. The key comes first: without it the
+// certificate is of no use.
+func save(certFile, keyFile string, der []byte, key *ecdsa.PrivateKey) error {
+	secret, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return fmt.Errorf("pki: %w", err)
+	}
+	if err := create(keyFile, 0o600, &pem.Block{Type: "PRIVATE KEY", Bytes: secret}); err != nil {
+		return err
+	}
+	return create(certFile, 0o644, &pem.Block{Type: "CERTIFICATE", Bytes: der})
+}
+
+func create(path string, mode os.FileMode, b *pem.Block) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, mode)
+	if err != nil {
+		return fmt.Errorf("pki: %w", err)
+	}
+	err = pem.Encode(f, b)
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	if err != nil {
+		return fmt.Errorf("pki: %w", err)
+	}
+	return nil
+}
+
+func authority(path string) (*x509.CertPool, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, fmt.Errorf("%s: holds no certificate", path)
+	}
+	return pool, nil
+}
+
+// ServerConfig is an agent's side. Each client that is turned away is told to
+// refuse, with the cause: none, expired, authority or other.
+func ServerConfig(ca, cert, key string, refuse func(cause string)) (*tls.Config, error) {
+	roots, err := authority(ca)
+	if err != nil {
+		return nil, err
+	}
+	own, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{own},
+		// Asked for here and required below, where the cause can be told and counted.
+		ClientAuth: tls.RequestClientCert,
+		// Each connection is checked in full: no earlier session stands for it.
+		SessionTicketsDisabled: true,
+		VerifyConnection: func(s tls.ConnectionState) error {
+			cause, err := verify(s.PeerCertificates, roots)
+			if err != nil {
+				refuse("certificate: " + cause)
+			}
+			return err
+		},
+	}, nil
+}
+
+func verify(chain []*x509.Certificate, roots *x509.CertPool) (cause string, err error) {
+	if len(chain) == 0 {
+		return "none", errors.New("no client certificate")
+	}
+	_, err = chain[0].Verify(x509.VerifyOptions{Roots: roots, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}})
+	var invalid x509.CertificateInvalidError
+	var unknown x509.UnknownAuthorityError
+	switch {
+	case err == nil:
+		return "", nil
+	case errors.As(err, &invalid) && invalid.Reason == x509.Expired:
+		return "expired", err
+	case errors.As(err, &unknown):
+		return "authority", err
+	}
+	return "other", err
+}
+
+// ClientConfig is a tool's side.
+func ClientConfig(ca, cert, key string) (*tls.Config, error) {
+	roots, err := authority(ca)
+	if err != nil {
+		return nil, err
+	}
+	own, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots, Certificates: []tls.Certificate{own}}, nil
+}
+
+// Who gives the name and the role of a verified client; no role if its certificate
+// names none that tools have.
+func Who(s *tls.ConnectionState) (name, role string) {
+	if len(s.PeerCertificates) == 0 {
+		return "", ""
+	}
+	subject := s.PeerCertificates[0].Subject
+	if len(subject.OrganizationalUnit) == 1 && slices.Contains([]string{Viewer, Operator}, subject.OrganizationalUnit[0]) {
+		role = subject.OrganizationalUnit[0]
+	}
+	return subject.CommonName, role
+}
--- /dev/null
+++ b/internal/fleet/protocol/protocol.go
@@ -0,0 +1,241 @@
+// Package protocol is what the operator's tool and the agents say to each other:
+// JSON over HTTP, on a Unix socket or mutual TLS.
+//
+//	GET    /v1/agent                              Agent
+//	GET    /v1/instances                          []Instance
+//	GET    /v1/instances/{name}/inspect           control.Inspection
+//	GET    /v1/commands                           []Command
+//	POST   /v1/commands                           CommandRequest -> Command
+//	POST   /v1/commands/{id}/renew                Command
+//	POST   /v1/commands/{id}/close                CloseRequest -> Command
+//	POST   /v1/commands/{id}/run/{instance}       Operation
+//	POST   /v1/commands/{id}/abort                Command
+//	GET    /v1/commands/{id}/run/{instance}       Operation; ?wait=MS waits for its end
+//
+// Every answer that is not 2xx holds an Error. Unknown fields are refused.
+package protocol
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"time"
+)
+
+const (
+	// Version of the protocol; it stands in every path and in the header VersionHeader
+	// of every request and answer.
+	Version       = 1
+	VersionHeader = "Otterstep-Protocol"
+
+	// BodyMost bounds a request's body, AnswerMost an answer's, in bytes.
+	BodyMost   = 1 << 20
+	AnswerMost = 16 << 20
+	// InstancesMost bounds the instances of one agent and of one command at it.
+	InstancesMost = 1000
+	// WaitMost bounds how long a call may wait for an operation's end.
+	WaitMost = 30 * time.Second
+
+	// LeaseFor is how long a command holds its instances without being renewed: a
+	// tool that dies frees them after this.
+	LeaseFor = 10 * time.Second
+)
+
+// The kinds of commands.
+const (
+	Start   = "start"
+	Drain   = "drain"
+	Restart = "restart"
+	Reload  = "reload"
+)
+
+// Kinds lists them.
+var Kinds = []string{Start, Drain, Restart, Reload}
+
+// The states of a command.
+const (
+	Open    = "open"
+	Closed  = "closed"
+	Expired = "expired" // its tool did not renew it
+)
+
+// The states of an operation.
+const (
+	Running     = "running"
+	Done        = "done"
+	Failed      = "failed"
+	Interrupted = "interrupted" // stopped half-way; its last step says where
+	Aborted     = "aborted"
+)
+
+// The states of an instance's process.
+const (
+	StateUp       = "up"       // it runs, and /up answers 200
+	StateRunning  = "running"  // it runs
+	StateDown     = "down"     // it does not run and is not meant to
+	StateBackoff  = "backoff"  // it crashed and is started again after a while
+	StateGaveUp   = "gave-up"  // it crashed too often: it is left alone until a command starts it
+	StateUnknown  = "unknown"  // its run file is held by a process that can't be told
+	StateStopping = "stopping" // it was told to end
+)
+
+// Agent describes an agent.
+type Agent struct {
+	Name      string           `json:"name"`
+	Protocol  int              `json:"protocol"`
+	Version   string           `json:"version"`
+	Started   time.Time        `json:"started"`
+	Instances int              `json:"instances"`
+	Record    string           `json:"record"` // "ok", or why no command is taken
+	Refused   map[string]int64 `json:"refused"`
+}
+
+// Holder is who holds an instance.
+type Holder struct {
+	Command  string    `json:"command"`
+	Kind     string    `json:"kind"`
+	Operator string    `json:"operator"`
+	Since    time.Time `json:"since"`
+}
+
+// Instance is an instance's state.
+type Instance struct {
+	Name       string            `json:"name"`
+	Group      string            `json:"group"`
+	Labels     map[string]string `json:"labels,omitempty"`
+	Listen     string            `json:"listen"`
+	Desired    string            `json:"desired"` // "up" or "down"
+	State      string            `json:"state"`
+	Pid        int               `json:"pid,omitempty"`
+	Since      time.Time         `json:"since,omitzero"` // of the state
+	Generation uint64            `json:"generation"`     // counts the operations on it
+	Crashes    int               `json:"crashes"`        // since it last ran steadily
+	Message    string            `json:"message,omitempty"`
+	Holder     *Holder           `json:"holder,omitempty"`
+	Operation  string            `json:"operation,omitempty"` // under way
+}
+
+// Seen is an instance with the generation that a tool saw.
+type Seen struct {
+	Name       string `json:"name"`
+	Generation uint64 `json:"generation"`
+}
+
+// CommandRequest opens a command: it takes a lease over all the instances at once,
+// or over none.
+type CommandRequest struct {
+	ID        string `json:"id"`
+	Kind      string `json:"kind"`
+	Instances []Seen `json:"instances"`
+	// Plan is how the tool means to go about it, for whoever resumes it.
+	Plan string `json:"plan,omitempty"`
+	// Resume takes up a command of this id that has ended.
+	Resume bool `json:"resume,omitempty"`
+}
+
+// Command is one command's part at one agent.
+type Command struct {
+	ID         string      `json:"id"`
+	Kind       string      `json:"kind"`
+	Operator   string      `json:"operator"`
+	Plan       string      `json:"plan,omitempty"`
+	Opened     time.Time   `json:"opened"`
+	State      string      `json:"state"`
+	Reason     string      `json:"reason,omitempty"`
+	Instances  []string    `json:"instances"`
+	Operations []Operation `json:"operations"`
+}
+
+// CloseRequest ends a command.
+type CloseRequest struct {
+	Reason string `json:"reason"`
+}
+
+// Operation is what one command does to one instance.
+type Operation struct {
+	Command    string    `json:"command"`
+	Kind       string    `json:"kind"`
+	Instance   string    `json:"instance"`
+	Operator   string    `json:"operator"`
+	Generation uint64    `json:"generation"`
+	State      string    `json:"state"`
+	Reason     string    `json:"reason,omitempty"`
+	Steps      []Step    `json:"steps"`
+	Began      time.Time `json:"began"`
+	Ended      time.Time `json:"ended,omitzero"`
+}
+
+// Step is a step of an operation, written down before it is taken.
+type Step struct {
+	Name string    `json:"name"`
+	At   time.Time `json:"at"`
+	Note string    `json:"note,omitempty"`
+}
+
+// The codes of an Error.
+const (
+	CodeUsage     = "usage"
+	CodeVersion   = "version"
+	CodeForbidden = "forbidden"
+	CodeNotFound  = "not-found"
+	CodeConflict  = "conflict"
+	CodeTooOld    = "too-old" // the command's id is older than what is remembered
+	CodeRecord    = "record"  // nothing can be written down, so nothing is begun
+	CodeFailed    = "failed"
+)
+
+// Error is a refusal.
+type Error struct {
+	Code     string  `json:"code"`
+	Text     string  `json:"text"`
+	Instance string  `json:"instance,omitempty"`
+	Holder   *Holder `json:"holder,omitempty"` // CodeConflict: who holds the instance
+}
+
+func (e *Error) Error() string { return e.Text }
+
+// Status gives the HTTP status that goes with an error.
+func (e *Error) Status() int {
+	switch e.Code {
+	case CodeUsage, CodeVersion:
+		return 400
+	case CodeForbidden:
+		return 403
+	case CodeNotFound:
+		return 404
+	case CodeConflict, CodeTooOld:
+		return 409
+	case CodeRecord:
+		return 503
+	}
+	return 500
+}
+
+// Errorf makes an Error.
+func Errorf(code, format string, args ...any) *Error {
+	return &Error{Code: code, Text: fmt.Sprintf(format, args...)}
+}
+
+// A command's id begins with the time at which its tool made it, so that an agent
+// can tell one that it has forgotten from one that it never saw.
+var idForm = regexp.MustCompile(`^[0-9a-f]{12}-[0-9a-f]{16}$`)
+
+// NewID makes a command's id from a time and 64 random bits.
+func NewID(now time.Time, random uint64) string {
+	return fmt.Sprintf("%012x-%016x", now.UnixMilli(), random)
+}
+
+// IDTime reads the time in a command's id.
+func IDTime(id string) (time.Time, error) {
+	if !idForm.MatchString(id) {
+		return time.Time{}, fmt.Errorf("%q is no command's id", id)
+	}
+	ms, err := strconv.ParseInt(id[:12], 16, 64)
+	if err != nil {
+		return time.Time{}, fmt.Errorf("%q is no command's id: %w", id, err)
+	}
+	return time.UnixMilli(ms), nil
+}
+
+// Name is the form of an agent's, instance's or group's name.
+var Name = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"runtime/debug"
 	"runtime/metrics"
 	"sync"
 	"time"
 
+	"otterstep/internal/buildinfo"
 	"otterstep/internal/control"
 	"otterstep/policy"
 )
@@ -85,7 +85,7 @@
 		return control.Inspection{}, errors.New("the node has stopped")
 	}
 	a := control.Inspection{
-		Form: control.Version, Name: i.cfg.Name, Version: version(), Started: i.started, State: state, Listen: i.listen,
+		Form: control.Version, Name: i.cfg.Name, Version: buildinfo.Version(), Started: i.started, State: state, Listen: i.listen,
 		Open: view.Open, Held: view.Held, Attempts: view.Out, Clients: i.clients.inspect(),
 		Descriptors: control.Descriptors{Open: descriptors(), Limit: i.cfg.Sockets},
 		Memory:      memory(i.cfg.MemoryMB), Counts: map[string]map[string]int64{},
@@ -116,20 +116,6 @@
 	return a, nil
 }
 
-// version is the module's, or the commit that it was built from.
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			return s.Value[:min(12, len(s.Value))]
-		}
-	}
-	return info.Main.Version
-}
-
 // descriptors counts the process's own; -1 where the system does not tell.
 func descriptors() int {
 	entries, err := os.ReadDir("/proc/self/fd")
--- a/internal/standin/lab/demo.go
+++ b/internal/standin/lab/demo.go
@@ -8,6 +8,9 @@
 	"slices"
 	"text/tabwriter"
 	"time"
+
+	"otterstep/internal/fleet/group"
+	"otterstep/internal/fleet/protocol"
 )
 
 // Story is the demo's timetable.
@@ -45,11 +48,21 @@
 	if err := pause(s.Healed); err != nil {
 		return false, err
 	}
-	say("rolling restart of all instances, one at a time")
-	if err := l.Roll(ctx); err != nil {
+	say("rolling restart of all instances through %d agents", l.opt.Agents)
+	if err := l.Roll(ctx, 1, func(r group.Result) {
+		say("  %s/%s %s in %.1fs %s", r.Agent, r.Instance, r.Outcome, r.Took.Seconds(), r.Text)
+	}); err != nil {
+		return false, err
+	}
+	box = l.Boxes[len(l.Boxes)-1]
+	say("all instances are back; box %s crashes, and returns cold after a second", box.UID())
+	box.Crash()
+	if err := pause(time.Second); err != nil {
+		return false, err
+	}
+	if err := box.Return(); err != nil {
 		return false, err
 	}
-	say("all instances are back")
 	if err := pause(s.After); err != nil {
 		return false, err
 	}
@@ -57,22 +70,22 @@
 	return l.Print(w), nil
 }
 
-// Roll restarts the instances one after the other, each once the one before it
-// serves again.
-func (l *Lab) Roll(ctx context.Context) error {
-	for _, i := range l.Instances {
-		ctx, cancel := context.WithTimeout(ctx, startWithin)
-		err := i.Stop(ctx)
-		if err == nil {
-			err = i.Start()
-		}
-		if err == nil {
-			err = l.allUp(ctx)
-		}
-		cancel()
-		if err != nil {
-			return err
-		}
+// Roll restarts all instances, at most so many away at once.
+func (l *Lab) Roll(ctx context.Context, most int, progress func(group.Result)) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(1+len(l.Instances))*startWithin)
+	defer cancel()
+	r, err := l.Fleet.Give(ctx, group.Order{
+		Plan: group.Plan{Kind: protocol.Restart, MaxUnavailable: most}, Select: group.Selector{Names: []string{"all"}}, Progress: progress,
+	})
+	switch {
+	case err != nil:
+		return fmt.Errorf("demo: %w", err)
+	case r.Conflict != nil:
+		return fmt.Errorf("demo: %w", r.Conflict)
+	case r.Stopped != "":
+		return fmt.Errorf("demo: the rollout stopped: %s", r.Stopped)
+	case len(r.Silent) > 0:
+		return fmt.Errorf("demo: agent %s did not answer: %s", r.Silent[0].Agent, r.Silent[0].Why)
 	}
 	return nil
 }
--- a/internal/standin/lab/lab.go
+++ b/internal/standin/lab/lab.go
@@ -4,24 +4,29 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
-	"os"
-	"path/filepath"
 	"time"
 
+	"golang.org/x/sys/unix"
+
+	"otterstep/internal/fleet/group"
 	"otterstep/internal/standin"
 )
 
 // Options size a lab.
 type Options struct {
-	Dir       string   // for configurations, logs and sockets; must exist
-	Node      []string // the command of an instance
-	NodeEnv   []string // what its environment has besides
+	Dir       string            // for configurations, logs and sockets; absolute, must exist
+	Node      []string          // the command of an instance
+	NodeEnv   map[string]string // what its environment has besides
+	Agent     []string          // the command of an agent, as far as "run"
+	AgentEnv  []string          // what its environment has besides
+	Guard     []string          // the command that calls Guard, if any
 	Instances int
+	Agents    int // 1 if 0
 	Boxes     int
 	Rate      float64 // clients' requests a second; 0: no clients
 	Classes   []standin.Class
@@ -57,12 +62,17 @@
 	Ledger    *standin.Ledger
 	Front     *standin.Front
 	Clients   *standin.Clients
-	Instances []*Instance
+	Instances []Instance
+	Fleet     *group.Fleet
+	FleetFile string
 
 	opt     Options
 	started time.Time
 	outlets []*standin.Outlet
 	spawner *spawner
+	agents  []*process
+	states  []string // folders of the agents
+	guard   io.Closer
 	stop    context.CancelFunc
 	done    chan struct{} // front and clients have ended
 	load    context.CancelFunc
@@ -71,8 +81,9 @@
 // New starts a fleet and returns once every instance is up. On an error nothing
 // is left running.
 func New(ctx context.Context, opt Options) (_ *Lab, err error) {
-	if opt.Instances < 1 || opt.Boxes < 1 {
-		return nil, errors.New("lab: at least one instance and one box are needed")
+	opt.Agents = max(1, opt.Agents)
+	if opt.Instances < opt.Agents || opt.Boxes < 1 {
+		return nil, errors.New("lab: at least one box and an instance for each agent are needed")
 	}
 	if opt.Classes == nil {
 		opt.Classes = Classes()
@@ -80,6 +91,10 @@
 	if opt.Log == nil {
 		opt.Log = slog.New(slog.DiscardHandler)
 	}
+	// Instances whose agent dies become this process's children, to be reaped.
+	if err := unix.Prctl(unix.PR_SET_CHILD_SUBREAPER, 1, 0, 0, 0); err != nil {
+		return nil, fmt.Errorf("lab: %w", err)
+	}
 	l := &Lab{
 		Discovery: standin.NewDiscovery(), Ledger: standin.NewLedger(ledgerMost),
 		opt: opt, started: time.Now(), spawner: newSpawner(), done: make(chan struct{}),
@@ -102,7 +117,7 @@
 		}
 		l.Boxes = append(l.Boxes, b)
 	}
-	if err := l.instances(); err != nil {
+	if err := l.fleet(); err != nil {
 		return nil, err
 	}
 	var addrs []string
@@ -145,61 +160,6 @@
 	return nil
 }
 
-// instances writes the configurations and starts the processes.
-func (l *Lab) instances() error {
-	var shared *standin.Outlet
-	for i := range l.opt.Instances {
-		name := fmt.Sprintf("n%d", i+1)
-		outlet := shared
-		if outlet == nil {
-			var err error
-			if l.opt.Asked {
-				shared, err = l.Discovery.Asked(2 * time.Millisecond)
-				outlet = shared
-			} else {
-				outlet, err = l.Discovery.Pushed()
-			}
-			if err != nil {
-				return err
-			}
-			l.outlets = append(l.outlets, outlet)
-		}
-		instance, err := l.instance(name, outlet.Addr(), i)
-		if err != nil {
-			return err
-		}
-		l.Instances = append(l.Instances, instance)
-		if err := instance.Start(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (l *Lab) instance(name, discovery string, index int) (*Instance, error) {
-	addr, err := freeAddr()
-	if err != nil {
-		return nil, err
-	}
-	config := filepath.Join(l.opt.Dir, name+".json")
-	text, err := json.MarshalIndent(l.config(name, addr, discovery, index), "", " ")
-	if err != nil {
-		return nil, fmt.Errorf("lab: configuration of %s: %w", name, err)
-	}
-	if err := os.WriteFile(config, text, 0o600); err != nil {
-		return nil, fmt.Errorf("lab: %w", err)
-	}
-	operator := filepath.Join(l.opt.Dir, name+".toml")
-	socket := filepath.Join(l.opt.Dir, name+".sock")
-	if err := os.WriteFile(operator, fmt.Appendf(nil, "[control]\nsocket = %q\n\n[drain]\ntell_up = true\n", socket), 0o600); err != nil {
-		return nil, fmt.Errorf("lab: %w", err)
-	}
-	return &Instance{
-		Name: name, Addr: addr, Config: config, Operator: operator, Control: socket,
-		Log: filepath.Join(l.opt.Dir, name+".log"), lab: l,
-	}, nil
-}
-
 // freeAddr finds a free address. Nothing holds it until the instance listens, so
 // that another process might take it; the instance then says so and ends.
 func freeAddr() (string, error) {
@@ -263,13 +223,20 @@
 	}
 }
 
-// Close ends clients, instances, boxes and discovery. No process is left.
+// Close ends clients, agents, instances, boxes and discovery. No process is left.
 func (l *Lab) Close() {
 	l.load()
 	l.stop()
 	<-l.done
-	for _, i := range l.Instances {
-		i.kill()
+	for _, a := range l.agents {
+		a.kill()
+	}
+	l.killInstances()
+	if l.guard != nil {
+		l.guard.Close()
+	}
+	if l.Fleet != nil {
+		l.Fleet.Close()
 	}
 	l.spawner.close()
 	for _, o := range l.outlets {
--- a/internal/standin/lab/lab_test.go
+++ b/internal/standin/lab/lab_test.go
@@ -2,46 +2,72 @@
 
 import (
 	"context"
+	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 	"testing"
 	"time"
 
-	"log/slog"
-
 	"otterstep/internal/control"
+	"otterstep/internal/fleet/agent"
+	"otterstep/internal/fleet/proc"
 	"otterstep/internal/node"
 	"otterstep/internal/operator"
 )
 
-// TestMain lets the test binary stand in for the node's program.
+// TestMain lets the test binary stand in for the programs: by its first words for
+// the launcher and the guard, else by what its environment says.
 func TestMain(m *testing.M) {
-	if os.Getenv("OTTERLAB_NODE") == "1" {
-		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
-		defer stop()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	switch role := os.Getenv("OTTERLAB_ROLE"); {
+	case len(os.Args) > 1 && os.Args[1] == "launch":
+		must(proc.Launch(os.Args[2], os.Args[3], os.Args[4:]))
+	case len(os.Args) > 1 && os.Args[1] == "guard":
+		must(Guard(os.Stdin, os.Args[2]))
+	case role == "agent":
+		cfg, err := agent.LoadConfig(os.Args[2])
+		must(err)
+		a, err := agent.New(cfg, agent.Options{Launcher: []string{"/proc/self/exe", "launch"}, Log: slog.New(slog.NewTextHandler(os.Stderr, nil))})
+		must(err)
+		must(a.Run(ctx))
+	case role == "node":
 		cfg, err := node.LoadConfig(os.Getenv("PROXY_CONFIG"))
-		if err != nil {
-			panic(err)
-		}
+		must(err)
 		op, err := operator.Load(os.Args[2])
-		if err != nil {
-			panic(err)
-		}
-		if err := node.Run(ctx, cfg, op, node.Reloads{}, slog.New(slog.NewTextHandler(os.Stderr, nil))); err != nil {
-			panic(err)
-		}
-		return
+		must(err)
+		must(node.Run(ctx, cfg, op, node.Reloads{}, slog.New(slog.NewTextHandler(os.Stderr, nil))))
+	case role == "lab":
+		l, err := New(ctx, testOptions(os.Getenv("OTTERLAB_DIR")))
+		must(err)
+		fmt.Println("up")
+		<-ctx.Done()
+		l.Close()
+	default:
+		os.Exit(m.Run())
+	}
+}
+
+func must(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func testOptions(dir string) Options {
+	return Options{
+		Dir: dir, Node: []string{os.Args[0]}, NodeEnv: map[string]string{"OTTERLAB_ROLE": "node"},
+		Agent: []string{os.Args[0]}, AgentEnv: []string{"OTTERLAB_ROLE=agent"}, Guard: []string{os.Args[0], "guard"},
+		Instances: 2, Agents: 2, Boxes: 4, Rate: 60, Seed: 7,
 	}
-	os.Exit(m.Run())
 }
 
 func testLab(t *testing.T, change func(*Options)) *Lab {
 	t.Helper()
-	opt := Options{
-		Dir: t.TempDir(), Node: []string{os.Args[0]}, NodeEnv: []string{"OTTERLAB_NODE=1"},
-		Instances: 2, Boxes: 4, Rate: 60, Seed: 7,
-	}
+	opt := testOptions(t.TempDir())
 	if change != nil {
 		change(&opt)
 	}
@@ -77,7 +103,7 @@
 
 // The control socket tells what the node does, while it serves.
 func TestControlSocketTellsOfABoxThatHangs(t *testing.T) {
-	l := testLab(t, func(o *Options) { o.Instances = 1 })
+	l := testLab(t, func(o *Options) { o.Instances, o.Agents = 1, 1 })
 	l.Boxes[0].Hang(true)
 	deadline := time.Now().Add(20 * time.Second)
 	for {
