--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+func serve(t *testing.T, inspect func(context.Context) (Inspection, error)) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "s")
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- Serve(ctx, path, inspect, slog.New(slog.DiscardHandler)) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		if _, err := os.Lstat(path); !errors.Is(err, os.ErrNotExist) {
+			t.Errorf("the socket is left: %v", err)
+		}
+	})
+	for {
+		if _, err := os.Lstat(path); err == nil {
+			return path
+		}
+	}
+}
+
+// However many ask, one inspection is under way at a time, and each gets an answer.
+func TestOneInspectionAtATime(t *testing.T) {
+	var now, most, all atomic.Int64
+	release := make(chan struct{})
+	path := serve(t, func(context.Context) (Inspection, error) {
+		if n := now.Add(1); n > most.Load() {
+			most.Store(n)
+		}
+		defer now.Add(-1)
+		all.Add(1)
+		<-release
+		return Inspection{Form: Version, Name: "n1"}, nil
+	})
+	var askers sync.WaitGroup
+	for range 30 {
+		askers.Go(func() {
+			if i, err := Inspect(context.Background(), path); err != nil || i.Name != "n1" {
+				t.Errorf("%+v, %v", i, err)
+			}
+		})
+	}
+	for all.Load() == 0 {
+	}
+	close(release)
+	askers.Wait()
+	if most.Load() != 1 {
+		t.Errorf("%d at a time", most.Load())
+	}
+}
+
+func TestAnswersThatCannotBeUsed(t *testing.T) {
+	path := serve(t, func(context.Context) (Inspection, error) { return Inspection{}, errors.New("the loop is busy") })
+	if _, err := Inspect(t.Context(), path); err == nil || !strings.Contains(err.Error(), "the loop is busy") {
+		t.Errorf("%v", err)
+	}
+	path = serve(t, func(context.Context) (Inspection, error) { return Inspection{Form: Version + 1}, nil })
+	if _, err := Inspect(t.Context(), path); !errors.Is(err, errForm) {
+		t.Errorf("%v", err)
+	}
+	if _, err := Inspect(t.Context(), filepath.Join(t.TempDir(), "none")); err == nil {
+		t.Error("an answer from nobody")
+	}
+}
+
+func TestSocketFiles(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "file")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Listen(file); err == nil {
+		t.Error("a file was replaced by a socket")
+	}
+	dead := filepath.Join(dir, "dead")
+	l, err := net.Listen("unix", dead)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.(*net.UnixListener).SetUnlinkOnClose(false)
+	l.Close()
+	mine, err := Listen(dead)
+	if err != nil {
+		t.Fatalf("a dead process's socket: %v", err)
+	}
+	defer mine.Close()
+	if info, err := os.Lstat(dead); err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("%v, %v", info.Mode(), err)
+	}
+	if _, err := Listen(dead); err == nil || !strings.Contains(err.Error(), "another process answers") {
+		t.Errorf("a living process's socket: %v", err)
+	}
+}
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -20,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"otterstep/internal/fleet/book"
+	"otterstep/internal/fleet/instance"
 	"otterstep/internal/fleet/protocol"
 	"otterstep/internal/fleet/record"
 )
@@ -37,16 +37,15 @@
 	Launcher []string // the command that calls proc.Launch; required unless Runner is given
 	Version  string   // of the program
 	Log      *slog.Logger
-	FS       record.FS // the system's if nil
-	Runner   Runner    // real processes if nil
+	FS       record.FS       // the system's if nil
+	Runner   instance.Runner // real processes if nil
 }
 
 // Agent is one machine's. Run it with Run.
 type Agent struct {
 	cfg     Config
 	log     *slog.Logger
-	runner  Runner
-	probe   *http.Transport
+	runner  instance.Runner
 	started time.Time
 	version string
 	guard   *os.File // locked: one agent to a folder
@@ -58,6 +57,7 @@
 	// written: no command is taken until a rewrite succeeds.
 	dirty     error
 	compacted int64 // the record's size after the latest rewrite
+	lost      bool  // the record was damaged: what is desired may be lost
 
 	mu     sync.RWMutex // over what follows; never held during I/O
 	book   *book.Book
@@ -72,7 +72,7 @@
 func New(cfg Config, opt Options) (*Agent, error) {
 	a := &Agent{
 		cfg: cfg, log: opt.Log, runner: opt.Runner, started: time.Now(), version: opt.Version,
-		probe: &http.Transport{DisableKeepAlives: true}, leases: map[string]time.Time{}, ended: make(chan struct{}),
+		leases: map[string]time.Time{}, ended: make(chan struct{}),
 		units: map[string]*unit{},
 	}
 	if a.log == nil {
@@ -85,7 +85,7 @@
 		return nil, fmt.Errorf("agent: %w", err)
 	}
 	if a.runner == nil {
-		a.runner = processes{folder: cfg.State, launcher: opt.Launcher}
+		a.runner = instance.NewProcesses(cfg.State, opt.Launcher)
 	}
 	if err := a.lock(); err != nil {
 		return nil, err
@@ -135,6 +135,7 @@
 	case found.Aside != "":
 		a.log.Error("the record was damaged: it is kept aside, and commands from before now are forgotten", "aside", found.Aside, "why", found.Why)
 		a.book.Forgotten(time.Now())
+		a.lost = true
 		a.dirty = errors.New("not written since the record was damaged")
 		a.mend()
 	case found.Torn > 0:
@@ -165,8 +166,7 @@
 
 // Run supervises and answers tools until ctx ends. The instances go on.
 func (a *Agent) Run(ctx context.Context) error {
-	defer a.guard.Close()
-	defer a.record.Close()
+	defer a.close()
 	servers, err := a.listen()
 	if err != nil {
 		return err
@@ -174,14 +174,15 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var work sync.WaitGroup
-	var adopting sync.WaitGroup
+	// Nothing is started and no tool is answered before the truth is known.
 	for _, name := range a.order {
-		adopting.Add(1)
-		work.Go(func() { a.units[name].run(ctx, adopting.Done) })
+		a.units[name].adopt()
+	}
+	a.leaveDown()
+	for _, name := range a.order {
+		work.Go(func() { a.units[name].run(ctx) })
 	}
 	work.Go(func() { a.expire(ctx) })
-	// No tool is answered before the truth is known.
-	adopting.Wait()
 	a.log.Info("ready", "agent", a.cfg.Name, "instances", len(a.order))
 	for _, s := range servers {
 		work.Go(func() {
@@ -197,6 +198,34 @@
 	return nil
 }
 
+// close lets go of the folder. Calls that are still being answered can write no more.
+func (a *Agent) close() {
+	a.commit.Lock()
+	defer a.commit.Unlock()
+	a.record.Close() // what was confirmed is on the disk already
+	a.guard.Close()
+}
+
+// leaveDown leaves instances down that were found so, if the record was damaged.
+func (a *Agent) leaveDown() {
+	if !a.lost {
+		return
+	}
+	var down []string
+	for _, name := range a.order {
+		if a.units[name].look().state == protocol.StateDown {
+			down = append(down, name)
+		}
+	}
+	e := book.Entry{At: time.Now(), Found: &book.Found{Down: down}}
+	if _, err := a.write(e); err != nil {
+		a.apply(e)
+	}
+	if len(down) > 0 {
+		a.log.Warn("instances were found down and stay so: start them by a command", "instances", down)
+	}
+}
+
 // expire frees the leases of tools that have died, and mends the record.
 func (a *Agent) expire(ctx context.Context) {
 	every := time.NewTicker(expireEvery)
@@ -348,8 +377,8 @@
 	return "ok"
 }
 
-// instance gives an instance's state; it needs mu.
-func (a *Agent) instance(u *unit) protocol.Instance {
+// state gives an instance's state; it needs mu.
+func (a *Agent) state(u *unit) protocol.Instance {
 	kept, _ := a.book.Instance(u.def.Name)
 	v := u.look()
 	i := protocol.Instance{
@@ -368,7 +397,7 @@
 	defer a.mu.RUnlock()
 	list := make([]protocol.Instance, 0, len(a.order))
 	for _, name := range a.order {
-		list = append(list, a.instance(a.units[name]))
+		list = append(list, a.state(a.units[name]))
 	}
 	return list
 }
--- a/internal/fleet/agent/config.go
+++ b/internal/fleet/agent/config.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"otterstep/internal/fleet/backoff"
+	"otterstep/internal/fleet/instance"
 	"otterstep/internal/fleet/protocol"
 	"otterstep/internal/tomlfile"
 )
@@ -41,20 +42,7 @@
 		Finish tomlfile.Duration `toml:"finish"`
 	} `toml:"wait"`
 
-	Instance []Instance `toml:"instance"`
-}
-
-// Instance is an instance's definition.
-type Instance struct {
-	Name     string            `toml:"name"`
-	Group    string            `toml:"group"`
-	Labels   map[string]string `toml:"labels"`
-	Program  []string          `toml:"program"`  // the node's program and its arguments
-	Config   string            `toml:"config"`   // what PROXY_CONFIG names
-	Operator string            `toml:"operator"` // the operator's file; none if empty
-	Control  string            `toml:"control"`  // the control socket that the operator's file names
-	Env      map[string]string `toml:"env"`
-	Listen   string            `toml:"listen"` // read from Config if empty
+	Instance []instance.Spec `toml:"instance"`
 }
 
 // LoadConfig reads and checks an agent's file. Relative paths are taken from the
--- a/internal/fleet/agent/server.go
+++ b/internal/fleet/agent/server.go
@@ -87,7 +87,7 @@
 		if err != nil {
 			return servers, fmt.Errorf("agent: socket: %w", err)
 		}
-		servers = append(servers, a.server(peers{l, os.Getuid(), a.refused.add}))
+		servers = append(servers, a.server(netutil.LimitListener(peers{l, os.Getuid(), a.refused.add}, connectionsMost), localCaller))
 	}
 	if a.cfg.Listen != "" {
 		conf, err := pki.ServerConfig(a.cfg.TLS.CA, a.cfg.TLS.Cert, a.cfg.TLS.Key, a.refused.add)
@@ -99,20 +99,21 @@
 			return servers, fmt.Errorf("agent: listen: %w", err)
 		}
 		a.log.Info("listens", "addr", l.Addr().String())
-		servers = append(servers, a.server(tls.NewListener(l, conf)))
+		servers = append(servers, a.server(tls.NewListener(netutil.LimitListener(l, connectionsMost), conf), remoteCaller))
 	}
 	return servers, nil
 }
 
-func (a *Agent) server(l net.Listener) *server {
-	return &server{netutil.LimitListener(l, connectionsMost), &http.Server{
-		Handler: a.handler(), ReadHeaderTimeout: readWithin, ReadTimeout: 2 * readWithin, WriteTimeout: protocol.WaitMost + 2*readWithin,
+// server makes one; who tells who asks.
+func (a *Agent) server(l net.Listener, who func(*http.Request) caller) *server {
+	return &server{l, &http.Server{
+		Handler: a.handler(who), ReadHeaderTimeout: readWithin, ReadTimeout: 2 * readWithin, WriteTimeout: protocol.WaitMost + 2*readWithin,
 		IdleTimeout: idleFor, MaxHeaderBytes: 16 << 10,
 		ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelDebug),
 	}}
 }
 
-func (a *Agent) handler() http.Handler {
+func (a *Agent) handler(whoAsks func(*http.Request) caller) http.Handler {
 	mux := http.NewServeMux()
 	handle := func(pattern, role string, f func(r *http.Request, c caller) (any, error)) {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
@@ -193,12 +194,17 @@
 	return v
 }
 
-func whoAsks(r *http.Request) caller {
-	if r.TLS != nil {
-		name, role := pki.Who(r.TLS)
-		return caller{name, role}
+// localCaller goes by the user that peers has let in.
+func localCaller(r *http.Request) caller { return caller{r.RemoteAddr, pki.Operator} }
+
+// remoteCaller goes by the certificate. Without one there is no role: that the
+// connection is TLS is not taken for granted here.
+func remoteCaller(r *http.Request) caller {
+	if r.TLS == nil {
+		return caller{r.RemoteAddr, ""}
 	}
-	return caller{r.RemoteAddr, pki.Operator} // peers has let in nobody else
+	name, role := pki.Who(r.TLS)
+	return caller{name, role}
 }
 
 // read takes a request's body, which must be one JSON value of known fields.
--- a/internal/fleet/agent/unit.go
+++ b/internal/fleet/agent/unit.go
@@ -6,36 +6,16 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net/http"
 	"sync"
 	"syscall"
 	"time"
 
 	"otterstep/internal/control"
 	"otterstep/internal/fleet/backoff"
+	"otterstep/internal/fleet/instance"
 	"otterstep/internal/fleet/protocol"
 )
 
-// Process is an instance's process; package proc has the real ones.
-type Process interface {
-	Signal(syscall.Signal) error
-	Done() <-chan struct{}
-	State() string
-	Release()
-}
-
-// Runner starts and finds processes. Nothing that it starts ends with the agent.
-type Runner interface {
-	// Start starts an instance's process under a token of its own. It is an error if
-	// one runs already.
-	Start(i Instance, token string) (Process, int, error)
-	// Adopt finds the process that runs; nil if none does. An error means that one may
-	// run about which nothing is known.
-	Adopt(i Instance) (p Process, token string, pid int, err error)
-	// Trim bounds what the instance has logged.
-	Trim(i Instance) error
-}
-
 const (
 	upEvery = 50 * time.Millisecond
 	upWait  = time.Second
@@ -50,14 +30,14 @@
 // unit looks after one instance. Its goroutine alone starts, signals and waits for
 // the process; others read its view.
 type unit struct {
-	def    Instance
+	def    instance.Spec
 	agent  *Agent
 	log    *slog.Logger
 	wanted chan struct{} // an operation was begun
 
 	// The goroutine's own.
-	process Process // nil: none runs
-	token   string  // of the process that runs, or ran last
+	process instance.Process // nil: none runs
+	token   string           // of the process that runs, or ran last
 	tracker backoff.Tracker
 	retry   *time.Timer // next start after a crash
 	check   *time.Timer // next look at /up of a process that does not serve so far
@@ -75,7 +55,7 @@
 	token   string
 }
 
-func newUnit(a *Agent, def Instance) *unit {
+func newUnit(a *Agent, def instance.Spec) *unit {
 	u := &unit{
 		def: def, agent: a, log: a.log.With("instance", def.Name), wanted: make(chan struct{}, 1),
 		tracker: backoff.Tracker{Policy: a.cfg.backoff()}, retry: time.NewTimer(time.Hour), check: time.NewTimer(time.Hour),
@@ -108,7 +88,7 @@
 	return u.view
 }
 
-func (u *unit) has(p Process, token string, pid int) {
+func (u *unit) has(p instance.Process, token string, pid int) {
 	u.process, u.token = p, token
 	u.mu.Lock()
 	u.view.pid = pid
@@ -121,11 +101,8 @@
 	u.process = nil
 }
 
-// run looks after the instance until ctx ends; the process stays. Whatever ran when
-// the agent was started is adopted first.
-func (u *unit) run(ctx context.Context, adopted func()) {
-	u.adopt()
-	adopted()
+// run looks after the instance until ctx ends; the process stays. Call adopt first.
+func (u *unit) run(ctx context.Context) {
 	trim := time.NewTicker(trimAt)
 	defer trim.Stop()
 	for {
@@ -169,6 +146,7 @@
 	}
 }
 
+// adopt finds the process that runs.
 func (u *unit) adopt() {
 	p, token, pid, err := u.agent.runner.Adopt(u.def)
 	switch {
@@ -186,7 +164,7 @@
 
 // lookUp asks a running process's /up once, and again later while it does not serve.
 func (u *unit) lookUp(ctx context.Context) {
-	if u.agent.isUp(ctx, u.def.Listen) {
+	if u.agent.runner.Up(ctx, u.def) {
 		u.show(protocol.StateUp, "")
 	} else {
 		u.check.Reset(checkEvery)
@@ -238,7 +216,7 @@
 	every := time.NewTicker(upEvery)
 	defer every.Stop()
 	for {
-		if u.agent.isUp(ctx, u.def.Listen) {
+		if u.agent.runner.Up(ctx, u.def) {
 			u.show(protocol.StateUp, "")
 			return nil
 		}
@@ -460,21 +438,5 @@
 func (u *unit) inspect(ctx context.Context) (control.Inspection, error) {
 	ctx, cancel := context.WithTimeout(ctx, lookWait)
 	defer cancel()
-	return control.Inspect(ctx, u.def.Control)
-}
-
-// isUp asks an instance's /up.
-func (a *Agent) isUp(ctx context.Context, addr string) bool {
-	ctx, cancel := context.WithTimeout(ctx, upWait)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/up", nil)
-	if err != nil {
-		return false
-	}
-	resp, err := a.probe.RoundTrip(req)
-	if err != nil {
-		return false
-	}
-	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return u.agent.runner.Inspect(ctx, u.def)
 }
--- a/internal/fleet/book/book.go
+++ b/internal/fleet/book/book.go
@@ -31,6 +31,7 @@
 	Begin    *Begin    `json:"begin,omitempty"`
 	Step     *Step     `json:"step,omitempty"`
 	End      *End      `json:"end,omitempty"`
+	Found    *Found    `json:"found,omitempty"`
 }
 
 // Open opens a command and takes its lease.
@@ -71,6 +72,12 @@
 	Reason   string `json:"reason,omitempty"`
 }
 
+// Found notes instances that were found down when what is desired of them had been
+// lost: they are left so, as they may have been drained for a reason.
+type Found struct {
+	Down []string `json:"down"`
+}
+
 // Snapshot is a whole Book.
 type Snapshot struct {
 	Instances map[string]*Instance `json:"instances"`
@@ -357,6 +364,12 @@
 			}
 			o.Steps = append(o.Steps, protocol.Step{Name: e.Step.Name, At: e.At, Note: e.Step.Note})
 		}
+	case e.Found != nil:
+		for _, name := range e.Found.Down {
+			if i := b.instances[name]; i != nil {
+				i.Up = false
+			}
+		}
 	case e.End != nil:
 		if o := b.operation(e.End.ID, e.End.Instance); o != nil {
 			o.State, o.Reason, o.Ended = e.End.State, e.End.Reason, e.At
--- /dev/null
+++ b/internal/fleet/book/book_test.go
@@ -0,0 +1,342 @@
+package book
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"otterstep/internal/fleet/protocol"
+)
+
+var start = time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+
+// written is a book that is kept as an agent keeps it: checked, written, applied.
+type written struct {
+	*Book
+	t       *testing.T
+	now     time.Time
+	entries [][]byte
+}
+
+func (w *written) do(e Entry) (done bool, err error) {
+	w.t.Helper()
+	done, err = w.Check(e)
+	if done || err != nil {
+		return done, err
+	}
+	w.now = w.now.Add(time.Millisecond)
+	e.At = w.now
+	text, err := json.Marshal(e)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.entries = append(w.entries, text)
+	w.Apply(e)
+	return false, nil
+}
+
+var names = []string{"a", "b", "c", "d"}
+
+func newWritten(t *testing.T) *written { return &written{Book: New(names), t: t, now: start} }
+
+func (w *written) open(id, kind, operator string, instances ...string) error {
+	r := protocol.CommandRequest{ID: id, Kind: kind}
+	for _, name := range instances {
+		i, _ := w.Instance(name)
+		r.Instances = append(r.Instances, protocol.Seen{Name: name, Generation: i.Generation})
+	}
+	_, err := w.do(Entry{Open: &Open{Request: r, Operator: operator}})
+	return err
+}
+
+func id(n int) string { return protocol.NewID(start.Add(time.Duration(n)*time.Millisecond), uint64(n)) }
+
+func code(err error) string {
+	var e *protocol.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return fmt.Sprint(err)
+}
+
+// Any sequence of changes by several operators: at most one open command holds an
+// instance, at most one operation is under way on it, a generation grows by one for
+// each operation, and the written entries give the same book again.
+func TestSequencesAgainstAModel(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		w := newWritten(t)
+		holder := map[string]string{} // the model: who holds what
+		busy := map[string]string{}   // and where an operation is under way
+		generation := map[string]uint64{}
+		commands := map[string][]string{}
+		begun := map[string]bool{}
+		var ids []string
+		for n := range 80 {
+			switch rng.IntN(6) {
+			case 0, 1:
+				var some []string
+				for _, name := range names {
+					if rng.IntN(2) == 0 {
+						some = append(some, name)
+					}
+				}
+				free := len(some) > 0
+				for _, name := range some {
+					free = free && holder[name] == "" && busy[name] == ""
+				}
+				err := w.open(id(n), protocol.Kinds[rng.IntN(4)], fmt.Sprint("op", rng.IntN(2)), some...)
+				if free != (err == nil) {
+					t.Fatalf("seed %d step %d: open of %v: %v, model says free %v", seed, n, some, err, free)
+				}
+				if err == nil {
+					ids = append(ids, id(n))
+					commands[id(n)] = some
+					for _, name := range some {
+						holder[name] = id(n)
+					}
+				}
+			case 2, 3:
+				if len(ids) == 0 {
+					continue
+				}
+				c := ids[rng.IntN(len(ids))]
+				name := names[rng.IntN(len(names))]
+				done, err := w.do(Entry{Begin: &Begin{ID: c, Instance: name, Run: "r"}})
+				legal := holder[name] == c && !begun[c+name]
+				if legal != (!done && err == nil) {
+					t.Fatalf("seed %d step %d: begin of %s on %s: done %v, %v, model says legal %v", seed, n, c, name, done, err, legal)
+				}
+				if legal {
+					begun[c+name], busy[name] = true, c
+					generation[name]++
+				}
+			case 4:
+				name := names[rng.IntN(len(names))]
+				if c := busy[name]; c != "" {
+					if _, err := w.do(Entry{End: &End{ID: c, Instance: name, State: protocol.Done}}); err != nil {
+						t.Fatal(err)
+					}
+					busy[name] = ""
+				}
+			case 5:
+				if len(ids) == 0 {
+					continue
+				}
+				c := ids[rng.IntN(len(ids))]
+				if _, err := w.do(Entry{Close: &Close{ID: c, State: protocol.Closed}}); err != nil {
+					t.Fatal(err)
+				}
+				for _, name := range commands[c] {
+					if holder[name] == c {
+						holder[name] = ""
+					}
+				}
+			}
+			for _, name := range names {
+				i, _ := w.Instance(name)
+				held := ""
+				if h := w.Holder(name); h != nil {
+					held = h.Command
+				}
+				if i.Generation != generation[name] || i.Operation != busy[name] || held != holder[name] {
+					t.Fatalf("seed %d step %d: %s is %+v held by %q, model: generation %d, busy %q, held by %q",
+						seed, n, name, i, held, generation[name], busy[name], holder[name])
+				}
+			}
+		}
+		again := New(names)
+		for _, text := range w.entries {
+			var e Entry
+			if err := json.Unmarshal(text, &e); err != nil {
+				t.Fatal(err)
+			}
+			again.Apply(e)
+		}
+		same(t, seed, w.Book, again)
+		loaded := New(names)
+		loaded.Apply(Entry{Snapshot: w.Snapshot()})
+		same(t, seed, w.Book, loaded)
+	}
+}
+
+func same(t *testing.T, seed uint64, x, y *Book) {
+	t.Helper()
+	a, _ := json.Marshal(x.Snapshot())
+	b, _ := json.Marshal(y.Snapshot())
+	if string(a) != string(b) {
+		t.Fatalf("seed %d: read again it differs:\n%s\n%s", seed, a, b)
+	}
+	for _, name := range names {
+		if !reflect.DeepEqual(x.Holder(name), y.Holder(name)) {
+			t.Fatalf("seed %d: holder of %s: %+v and %+v", seed, name, x.Holder(name), y.Holder(name))
+		}
+	}
+}
+
+func TestConflictsSayWhoHoldsIt(t *testing.T) {
+	w := newWritten(t)
+	if err := w.open(id(1), protocol.Drain, "ada", "a", "b"); err != nil {
+		t.Fatal(err)
+	}
+	err := w.open(id(2), protocol.Restart, "ben", "b", "c")
+	var e *protocol.Error
+	if !errors.As(err, &e) || e.Code != protocol.CodeConflict || e.Instance != "b" || e.Holder == nil ||
+		e.Holder.Operator != "ada" || e.Holder.Kind != protocol.Drain || e.Holder.Since.IsZero() {
+		t.Fatalf("got %+v", e)
+	}
+	if w.Holder("c") != nil {
+		t.Error("c is held by a command that was refused")
+	}
+	// Its lease is gone, its operation goes on: nobody else may begin.
+	if _, err := w.do(Entry{Begin: &Begin{ID: id(1), Instance: "b"}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.do(Entry{Close: &Close{ID: id(1), State: protocol.Expired}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.open(id(3), protocol.Restart, "ben", "b"); code(err) != protocol.CodeConflict {
+		t.Errorf("with an operation under way: %v", err)
+	}
+	if _, err := w.do(Entry{End: &End{ID: id(1), Instance: "b", State: protocol.Done}}); err != nil {
+		t.Fatal(err)
+	}
+	// Seen before the operation, commanded after it.
+	_, err = w.do(Entry{Open: &Open{Operator: "ben", Request: protocol.CommandRequest{
+		ID: id(4), Kind: protocol.Restart, Instances: []protocol.Seen{{Name: "b", Generation: 0}},
+	}}})
+	if !errors.As(err, &e) || e.Code != protocol.CodeConflict || e.Holder == nil || e.Holder.Operator != "ada" {
+		t.Errorf("with an old generation: %v", err)
+	}
+}
+
+func TestTheSameAgainActsOnce(t *testing.T) {
+	w := newWritten(t)
+	request := Entry{Open: &Open{Operator: "ada", Request: protocol.CommandRequest{
+		ID: id(1), Kind: protocol.Restart, Instances: []protocol.Seen{{Name: "a"}, {Name: "b"}},
+	}}}
+	if done, err := w.do(request); done || err != nil {
+		t.Fatal(done, err)
+	}
+	if done, err := w.do(request); !done || err != nil {
+		t.Errorf("open again: done %v, %v", done, err)
+	}
+	begin := Entry{Begin: &Begin{ID: id(1), Instance: "a"}}
+	for n := range 3 {
+		if done, err := w.do(begin); done != (n > 0) || err != nil {
+			t.Errorf("begin %d: done %v, %v", n, done, err)
+		}
+	}
+	if _, err := w.do(Entry{End: &End{ID: id(1), Instance: "a", State: protocol.Failed, Reason: "x"}}); err != nil {
+		t.Fatal(err)
+	}
+	if done, err := w.do(begin); !done || err != nil {
+		t.Errorf("begin after it failed: done %v, %v, want the failure to stand", done, err)
+	}
+	if i, _ := w.Instance("a"); i.Generation != 1 {
+		t.Errorf("generation %d, want 1", i.Generation)
+	}
+	other := *request.Open
+	other.Operator = "ben"
+	if _, err := w.do(Entry{Open: &other}); code(err) != protocol.CodeConflict {
+		t.Errorf("the id of another's command: %v", err)
+	}
+	// Taken up again, what is done stays and what failed is tried once more.
+	if _, err := w.do(Entry{Close: &Close{ID: id(1), State: protocol.Closed}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.do(request); code(err) != protocol.CodeConflict {
+		t.Errorf("an ended command opened again: %v", err)
+	}
+	request.Open.Request.Resume = true
+	if done, err := w.do(request); done || err != nil {
+		t.Fatal(done, err)
+	}
+	for n := range 2 {
+		if done, err := w.do(begin); done != (n > 0) || err != nil {
+			t.Errorf("resumed, begin %d: done %v, %v", n, done, err)
+		}
+	}
+}
+
+// Only so many commands are remembered; the id of a forgotten one is refused, as it
+// might act twice.
+func TestForgottenCommandsAreRefused(t *testing.T) {
+	w := newWritten(t)
+	for n := range CommandsMost + 10 {
+		if err := w.open(id(n), protocol.Reload, "ada", "a"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := w.do(Entry{Close: &Close{ID: id(n), State: protocol.Closed}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := len(w.Commands(10 * CommandsMost)); got > CommandsMost+1 {
+		t.Errorf("%d commands are remembered, at most %d may be", got, CommandsMost)
+	}
+	if err := w.open(id(3), protocol.Reload, "ada", "a"); code(err) != protocol.CodeTooOld {
+		t.Errorf("a forgotten id: %v", err)
+	}
+	if err := w.open(id(CommandsMost+20), protocol.Reload, "ada", "a"); err != nil {
+		t.Errorf("a new id: %v", err)
+	}
+	// Open ones are never forgotten, whatever comes after.
+	if w.Command(id(CommandsMost+20)) == nil {
+		t.Error("an open command was forgotten")
+	}
+	b := New(names)
+	b.Forgotten(start.Add(time.Hour))
+	if _, err := b.Check(Entry{Open: &Open{Operator: "ada", Request: protocol.CommandRequest{
+		ID: id(1), Kind: protocol.Start, Instances: []protocol.Seen{{Name: "a"}},
+	}}}); code(err) != protocol.CodeTooOld {
+		t.Errorf("after a lost record: %v", err)
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	many := make([]protocol.Seen, protocol.InstancesMost+1)
+	for name, r := range map[string]protocol.CommandRequest{
+		"no id":    {Kind: protocol.Start, Instances: []protocol.Seen{{Name: "a"}}},
+		"bad id":   {ID: "../../x", Kind: protocol.Start, Instances: []protocol.Seen{{Name: "a"}}},
+		"bad kind": {ID: id(1), Kind: "explode", Instances: []protocol.Seen{{Name: "a"}}},
+		"none":     {ID: id(1), Kind: protocol.Start},
+		"twice":    {ID: id(1), Kind: protocol.Start, Instances: []protocol.Seen{{Name: "a"}, {Name: "a"}}},
+		"too many": {ID: id(1), Kind: protocol.Start, Instances: many},
+	} {
+		if _, err := New(names).Check(Entry{Open: &Open{Request: r}}); code(err) != protocol.CodeUsage {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := New(names).Check(Entry{Open: &Open{Request: protocol.CommandRequest{
+		ID: id(1), Kind: protocol.Start, Instances: []protocol.Seen{{Name: "z"}},
+	}}}); code(err) != protocol.CodeNotFound {
+		t.Errorf("unknown instance: %v", err)
+	}
+}
+
+func TestStepsAreBounded(t *testing.T) {
+	w := newWritten(t)
+	if err := w.open(id(1), protocol.Start, "ada", "a"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.do(Entry{Begin: &Begin{ID: id(1), Instance: "a"}}); err != nil {
+		t.Fatal(err)
+	}
+	for n := range stepsMost + 5 {
+		if _, err := w.do(Entry{Step: &Step{ID: id(1), Instance: "a", Name: fmt.Sprint(n)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	steps := w.Operation(id(1), "a").Steps
+	if len(steps) != stepsMost || steps[len(steps)-1].Name != fmt.Sprint(stepsMost+4) {
+		t.Errorf("%d steps, the last %q", len(steps), steps[len(steps)-1].Name)
+	}
+	if !slices.ContainsFunc(w.Unfinished(), func(o protocol.Operation) bool { return o.Instance == "a" }) {
+		t.Error("the operation is not among the unfinished")
+	}
+}
--- a/internal/fleet/agent/runner.go
+++ b/internal/fleet/instance/processes.go
@@ -1,14 +1,18 @@
-package agent
+package instance
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"io/fs"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
+	"otterstep/internal/control"
 	"otterstep/internal/fleet/proc"
 )
 
@@ -16,17 +20,27 @@
 // whose content is replaced, and begun anew.
 const logMost = 16 << 20
 
-// processes is the Runner of real processes.
-type processes struct {
+// Processes is the Runner of real processes.
+type Processes struct {
 	folder   string
-	launcher []string // the command that calls proc.Launch
+	launcher []string
+	probe    *http.Transport
 }
 
-func (r processes) runFile(i Instance) string { return filepath.Join(r.folder, i.Name+".run") }
-func (r processes) logFile(i Instance) string { return filepath.Join(r.folder, i.Name+".log") }
+// NewProcesses makes one that keeps run files and logs in a folder. Launcher is the
+// command that calls proc.Launch.
+func NewProcesses(folder string, launcher []string) *Processes {
+	return &Processes{folder, launcher, &http.Transport{DisableKeepAlives: true}}
+}
+
+// upWait is how long /up may take.
+const upWait = time.Second
+
+func (r *Processes) runFile(i Spec) string { return filepath.Join(r.folder, i.Name+".run") }
+func (r *Processes) logFile(i Spec) string { return filepath.Join(r.folder, i.Name+".log") }
 
 // Start implements Runner.
-func (r processes) Start(i Instance, token string) (Process, int, error) {
+func (r *Processes) Start(i Spec, token string) (Process, int, error) {
 	argv := i.Program
 	if i.Operator != "" {
 		argv = append(append([]string{}, argv...), "-operator", i.Operator)
@@ -46,7 +60,7 @@
 }
 
 // Adopt implements Runner.
-func (r processes) Adopt(i Instance) (Process, string, int, error) {
+func (r *Processes) Adopt(i Spec) (Process, string, int, error) {
 	p, err := proc.Adopt(r.runFile(i))
 	if err != nil || p == nil {
 		return nil, "", 0, err
@@ -54,9 +68,30 @@
 	return p, p.Token, p.Pid, nil
 }
 
+// Up implements Runner.
+func (r *Processes) Up(ctx context.Context, i Spec) bool {
+	ctx, cancel := context.WithTimeout(ctx, upWait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.Listen+"/up", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := r.probe.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Inspect implements Runner.
+func (r *Processes) Inspect(ctx context.Context, i Spec) (control.Inspection, error) {
+	return control.Inspect(ctx, i.Control)
+}
+
 // Trim implements Runner. Lines that are written between the copy and the cut are
 // lost; the instance appends, so that it goes on at the start.
-func (r processes) Trim(i Instance) error {
+func (r *Processes) Trim(i Spec) error {
 	path := r.logFile(i)
 	info, err := os.Stat(path)
 	if errors.Is(err, fs.ErrNotExist) || err == nil && info.Size() <= logMost {
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -2,8 +2,8 @@
 // anything is done about them.
 //
 // The file is lines of text: eight hexadecimal digits of CRC-32C (Castagnoli, RFC
-// 3720 section B.4) over the entry, a space, the entry as JSON on one line, a line
-// feed. The first line's entry is a Header. An append is written and fsynced
+// 3720 section B.4) over the entry, a space, eight of its length, a space, the entry
+// as JSON on one line, a line feed. The first line's entry is a Header. An append is written and fsynced
 // before it counts. A torn last line, as a power cut leaves it, is dropped on
 // opening; damage before the last line ends what is read.
 package record
@@ -180,6 +180,13 @@
 	return l, Found{Aside: aside, Why: why.Error()}, l.Rewrite(nil)
 }
 
+// headLen is what stands before an entry on its line.
+const headLen = 18
+
+// errJoined means that a line holds more than one entry: the line feed between them
+// is lost, which no torn write explains.
+var errJoined = errors.New("longer than its length")
+
 var table = crc32.MakeTable(crc32.Castagnoli)
 
 // scan hands on the entries of a text. It gives the length of the good part, and an
@@ -194,7 +201,7 @@
 		e, err := check(rest[:end])
 		if err == nil {
 			err = entry(line, e)
-		} else if good+end+1 == len(text) && line > 1 {
+		} else if good+end+1 == len(text) && line > 1 && !errors.Is(err, errJoined) {
 			return good, nil // torn within the last line, as pages reach the disk in any order
 		}
 		if err != nil {
@@ -206,14 +213,24 @@
 }
 
 func check(line []byte) (json.RawMessage, error) {
-	if len(line) < 10 || line[8] != ' ' {
-		return nil, errors.New("no checksum")
+	if len(line) < headLen || line[8] != ' ' || line[17] != ' ' {
+		return nil, errors.New("no checksum and length")
 	}
 	sum, err := strconv.ParseUint(string(line[:8]), 16, 32)
 	if err != nil {
 		return nil, errors.New("no checksum")
 	}
-	e := line[9:]
+	length, err := strconv.ParseUint(string(line[9:17]), 16, 32)
+	if err != nil {
+		return nil, errors.New("no length")
+	}
+	e := line[headLen:]
+	switch {
+	case uint64(len(e)) > length:
+		return nil, errJoined
+	case uint64(len(e)) < length:
+		return nil, errors.New("shorter than its length")
+	}
 	if crc32.Checksum(e, table) != uint32(sum) {
 		return nil, errors.New("checksum does not fit")
 	}
@@ -229,7 +246,7 @@
 	if len(e) > LineMost {
 		return nil, fmt.Errorf("record: an entry of %d bytes, at most %d are taken", len(e), LineMost)
 	}
-	return fmt.Appendf(make([]byte, 0, len(e)+10), "%08x %s\n", crc32.Checksum(e, table), e), nil
+	return fmt.Appendf(make([]byte, 0, len(e)+headLen+1), "%08x %08x %s\n", crc32.Checksum(e, table), len(e), e), nil
 }
 
 // Append puts an entry on the disk. On an error it is not there: what was written
@@ -312,10 +329,14 @@
 // Err tells why the record is broken; nil while it is not.
 func (l *Log) Err() error { return l.err }
 
-// Close closes the file.
+// Close closes the file; what is appended from then on is an error.
 func (l *Log) Close() error {
 	if l.file == nil {
 		return nil
 	}
-	return l.file.Close()
+	err := l.file.Close()
+	l.file, l.err = nil, errClosed
+	return err
 }
+
+var errClosed = errors.New("closed")
--- /dev/null
+++ b/internal/fleet/record/record_test.go
@@ -0,0 +1,387 @@
+package record
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+func open(t *testing.T, fsys FS, path string) (*Log, Found, []string) {
+	t.Helper()
+	var read []string
+	l, found, err := Open(fsys, path, "m1", func(e json.RawMessage) error {
+		var s string
+		if err := json.Unmarshal(e, &s); err != nil {
+			return err
+		}
+		read = append(read, s)
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, found, read
+}
+
+func TestEntriesAreThereAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "record")
+	l, found, read := open(t, OS{}, path)
+	if !found.New || len(read) != 0 {
+		t.Errorf("new file: %+v, %q", found, read)
+	}
+	var want []string
+	for n := range 5 {
+		want = append(want, fmt.Sprint("entry\n", n))
+		if err := l.Append(want[n]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.Close()
+	l, found, read = open(t, OS{}, path)
+	if found != (Found{}) || !slices.Equal(read, want) {
+		t.Errorf("read %q, %+v, want %q", read, found, want)
+	}
+	if err := l.Rewrite("all"); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Append("more"); err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	if _, _, read = open(t, OS{}, path); !slices.Equal(read, []string{"all", "more"}) {
+		t.Errorf("after a rewrite read %q", read)
+	}
+}
+
+// Cut anywhere, a file gives all entries before the cut, and takes further ones.
+func TestTornTail(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "record")
+	l, _, _ := open(t, OS{}, path)
+	ends := []int64{l.Size()}
+	for n := range 4 {
+		if err := l.Append(fmt.Sprint("entry ", n)); err != nil {
+			t.Fatal(err)
+		}
+		ends = append(ends, l.Size())
+	}
+	l.Close()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := range len(text) + 1 {
+		torn := filepath.Join(t.TempDir(), "record")
+		if err := os.WriteFile(torn, text[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		whole := 0
+		for whole < len(ends) && ends[whole] <= int64(cut) {
+			whole++
+		}
+		l, found, read := open(t, OS{}, torn)
+		if want := max(0, whole-1); len(read) != want {
+			t.Fatalf("cut at %d: %d entries, want %d", cut, len(read), want)
+		}
+		if (found.Aside != "") != (whole == 0) {
+			t.Errorf("cut at %d: %+v, want it aside only without a whole first line", cut, found)
+		}
+		if err := l.Append("next"); err != nil {
+			t.Fatal(err)
+		}
+		l.Close()
+		if _, _, again := open(t, OS{}, torn); len(again) != len(read)+1 || again[len(read)] != "next" {
+			t.Errorf("cut at %d: read %q after an append", cut, again)
+		}
+	}
+}
+
+// A flipped byte never gives a wrong entry; damage before the last line puts the
+// file aside, whole.
+func TestDamageIsNoticed(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "record")
+	l, _, _ := open(t, OS{}, path)
+	for n := range 3 {
+		if err := l.Append(fmt.Sprint("entry ", n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.Close()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := strings.LastIndexByte(string(text[:len(text)-1]), '\n') + 1
+	for at := range text {
+		spoilt := slices.Clone(text)
+		spoilt[at] ^= 0x04
+		file := filepath.Join(t.TempDir(), "record")
+		if err := os.WriteFile(file, spoilt, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, found, read := open(t, OS{}, file)
+		for n, e := range read {
+			if e != fmt.Sprint("entry ", n) {
+				t.Fatalf("byte %d: read %q", at, read)
+			}
+		}
+		if at >= last {
+			if found.Aside != "" || len(read) != 2 {
+				t.Errorf("byte %d, in the last line: %+v, %q", at, found, read)
+			}
+			continue
+		}
+		kept, err := os.ReadFile(found.Aside)
+		if err != nil || string(kept) != string(spoilt) || found.Why == "" {
+			t.Errorf("byte %d: %+v, %v, want the damaged file aside", at, found, err)
+		}
+	}
+}
+
+func TestForeignFilesAreNotTaken(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "record")
+	l, _, _ := open(t, OS{}, path)
+	l.Append("mine")
+	l.Close()
+	_, found, err := Open(OS{}, path, "m2", func(json.RawMessage) error { t.Error("read"); return nil })
+	if err != nil || !strings.Contains(found.Why, `"m1"`) {
+		t.Errorf("%+v, %v, want the owner named", found, err)
+	}
+	if _, _, err := Open(OS{}, t.TempDir(), "m1", nil); err == nil {
+		t.Error("a folder was opened as a record")
+	}
+}
+
+// disk is a file system in memory that loses what was not synced, and fails on
+// command.
+type disk struct {
+	files, durable map[string]*inode // by name; what a power cut leaves of the names
+	ops, failAt    int
+	err            error
+}
+
+type inode struct{ data, synced []byte }
+
+func newDisk() *disk {
+	return &disk{files: map[string]*inode{}, durable: map[string]*inode{}, failAt: -1}
+}
+
+func (d *disk) fails() error {
+	d.ops++
+	if d.ops-1 == d.failAt {
+		return d.err
+	}
+	return nil
+}
+
+func (d *disk) ReadFile(name string) ([]byte, error) {
+	if f := d.files[name]; f != nil {
+		return slices.Clone(f.data), nil
+	}
+	return nil, fs.ErrNotExist
+}
+
+func (d *disk) Create(name string) (File, error) {
+	if err := d.fails(); err != nil {
+		return nil, err
+	}
+	d.files[name] = &inode{}
+	return &handle{d, d.files[name]}, nil
+}
+
+func (d *disk) Append(name string) (File, error) {
+	if err := d.fails(); err != nil {
+		return nil, err
+	}
+	return &handle{d, d.files[name]}, nil
+}
+
+func (d *disk) Rename(from, to string) error {
+	if err := d.fails(); err != nil {
+		return err
+	}
+	d.files[to] = d.files[from]
+	delete(d.files, from)
+	return nil
+}
+
+func (d *disk) SyncDir(string) error {
+	if err := d.fails(); err != nil {
+		return err
+	}
+	d.durable = maps.Clone(d.files)
+	return nil
+}
+
+// crash is a power cut: names go back to what was synced or stay, and of unsynced
+// data some first part is left.
+func (d *disk) crash(rng *rand.Rand) {
+	if rng.IntN(2) == 0 {
+		d.files = maps.Clone(d.durable)
+	}
+	for _, f := range d.files {
+		if n := len(f.synced); len(f.data) > n {
+			f.data = f.data[:n+rng.IntN(len(f.data)-n+1)]
+		} else if rng.IntN(2) == 0 { // a cut that was not synced
+			f.data = slices.Clone(f.synced)
+		}
+		f.synced = slices.Clone(f.data)
+	}
+	d.durable = maps.Clone(d.files)
+	d.failAt = -1
+}
+
+type handle struct {
+	disk *disk
+	file *inode
+}
+
+func (h *handle) Write(b []byte) (int, error) {
+	if err := h.disk.fails(); err != nil {
+		half := len(b) / 2 // as a full disk does
+		h.file.data = append(h.file.data, b[:half]...)
+		return half, err
+	}
+	h.file.data = append(h.file.data, b...)
+	return len(b), nil
+}
+
+func (h *handle) Sync() error {
+	if err := h.disk.fails(); err != nil {
+		return err
+	}
+	h.file.synced = slices.Clone(h.file.data)
+	return nil
+}
+
+func (h *handle) Truncate(n int64) error {
+	if err := h.disk.fails(); err != nil {
+		return err
+	}
+	h.file.data = h.file.data[:n]
+	return nil
+}
+
+func (h *handle) Close() error { return nil }
+
+// With disks that fail at any call and power cuts at any time: every entry whose
+// Append succeeded is read again, in order, and of the others at most one that was
+// under way. The seed is in the test's name.
+func TestFailingDisksLoseNothingThatWasConfirmed(t *testing.T) {
+	for seed := range uint64(400) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 3))
+			d := newDisk()
+			var confirmed []string
+			maybe := map[string]bool{} // written, perhaps, and not confirmed
+			next := 0
+			check := func(read []string) {
+				t.Helper()
+				rest := read
+				for _, want := range confirmed {
+					for len(rest) > 0 && rest[0] != want && maybe[rest[0]] {
+						rest = rest[1:]
+					}
+					if len(rest) == 0 || rest[0] != want {
+						t.Fatalf("read %q, lacks %q of %q", read, want, confirmed)
+					}
+					rest = rest[1:]
+				}
+				for _, more := range rest {
+					if !maybe[more] {
+						t.Fatalf("read %q, which was never written", more)
+					}
+				}
+			}
+			l, _, _ := open(t, d, "record")
+			for range 40 {
+				if rng.IntN(3) == 0 {
+					d.failAt = d.ops + rng.IntN(4)
+					d.err = []error{syscall.ENOSPC, syscall.EIO, syscall.EROFS}[rng.IntN(3)]
+				}
+				switch rng.IntN(8) {
+				case 0:
+					d.crash(rng)
+					var read []string
+					l, _, read = open(t, d, "record")
+					check(read)
+					confirmed, maybe = read, map[string]bool{}
+				case 1:
+					if l.Err() != nil { // mend it, as an agent does, by what it holds
+						if err := l.Rewrite(nil); err == nil {
+							confirmed, maybe = nil, map[string]bool{}
+						}
+					}
+				default:
+					next++
+					e := fmt.Sprint(next)
+					if err := l.Append(e); err == nil {
+						confirmed = append(confirmed, e)
+					} else {
+						maybe[e] = true
+					}
+				}
+			}
+			d.crash(rng)
+			_, _, read := open(t, d, "record")
+			check(read)
+		})
+	}
+}
+
+// After a failed fsync nothing is added until the file was written anew.
+func TestFailedSyncIsFinal(t *testing.T) {
+	d := newDisk()
+	l, _, _ := open(t, d, "record")
+	d.failAt, d.err = d.ops+1, syscall.EIO
+	if err := l.Append("a"); !errors.Is(err, syscall.EIO) {
+		t.Fatalf("got %v", err)
+	}
+	if err := l.Append("b"); err == nil || l.Err() == nil {
+		t.Error("an entry was added to a file that a sync failed on")
+	}
+	if err := l.Rewrite("whole"); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Append("c"); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, read := open(t, d, "record"); !slices.Equal(read, []string{"whole", "c"}) {
+		t.Errorf("read %q", read)
+	}
+}
+
+func TestBoundOfAnEntry(t *testing.T) {
+	l, _, _ := open(t, newDisk(), "record")
+	if err := l.Append(strings.Repeat("x", LineMost)); err == nil {
+		t.Error("an entry over the bound was taken")
+	}
+	if err := l.Append("small"); err != nil {
+		t.Error(err)
+	}
+}
+
+func FuzzScan(f *testing.F) {
+	line, _ := encode(Header{Version, "m1"})
+	f.Add(line)
+	f.Add([]byte("00000000 {}\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		good, _ := scan(text, func(_ int, e json.RawMessage) error {
+			if !json.Valid(e) {
+				return errors.New("no JSON")
+			}
+			return nil
+		})
+		if good > len(text) || good > 0 && text[good-1] != '\n' {
+			t.Errorf("good part of %d bytes in %d", good, len(text))
+		}
+	})
+}
--- a/internal/fleet/rollout/rollout.go
+++ b/internal/fleet/rollout/rollout.go
@@ -71,7 +71,7 @@
 			if !available(name) {
 				costs = 0
 			}
-			if away+costs > p.opt.MaxUnavailable {
+			if costs > 0 && away+costs > p.opt.MaxUnavailable {
 				return false
 			}
 			away += costs
--- /dev/null
+++ b/internal/fleet/rollout/rollout_test.go
@@ -0,0 +1,149 @@
+package rollout
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+func names(n int) []string {
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprint("n", i))
+	}
+	return list
+}
+
+// However instances come, go and take their time: never more are away than allowed
+// because of the plan, each is restarted once at most, and a plan that is not
+// stopped ends with all done.
+func TestNeverTooManyAway(t *testing.T) {
+	for seed := range uint64(500) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		all := names(1 + rng.IntN(12))
+		opt := Options{Instances: all, MaxUnavailable: 1 + rng.IntN(4), Pause: time.Duration(rng.IntN(3)) * time.Second}
+		p, err := New(opt, Counts{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Unix(1000, 0)
+		down := map[string]bool{}         // away by themselves
+		working := map[string]time.Time{} // back at
+		started := map[string]int{}
+		var lastEnd time.Time
+		for step := 0; !p.Over(); step++ {
+			if step > 5000 {
+				t.Fatalf("seed %d: no end: %+v", seed, p)
+			}
+			now = now.Add(100 * time.Millisecond)
+			if rng.IntN(40) == 0 {
+				down[all[rng.IntN(len(all))]] = true
+			}
+			for name := range down {
+				if rng.IntN(20) == 0 {
+					delete(down, name)
+				}
+			}
+			for name, back := range working {
+				if now.After(back) {
+					delete(working, name)
+					delete(down, name)
+					p.Ended(now, name, nil)
+					lastEnd = now
+				}
+			}
+			turn := p.Next(now, func(name string) bool { _, busy := working[name]; return !busy && !down[name] })
+			for _, name := range turn {
+				if started[name]++; started[name] > 1 {
+					t.Fatalf("seed %d: %s twice", seed, name)
+				}
+				if !lastEnd.IsZero() && now.Sub(lastEnd) < opt.Pause {
+					t.Fatalf("seed %d: %s after %v, want a pause of %v", seed, name, now.Sub(lastEnd), opt.Pause)
+				}
+				working[name] = now.Add(time.Duration(rng.IntN(3000)) * time.Millisecond)
+			}
+			away := map[string]bool{}
+			for name := range working {
+				away[name] = true
+			}
+			costly := slices.ContainsFunc(turn, func(name string) bool { return !down[name] })
+			for name := range down {
+				away[name] = true
+			}
+			if costly && len(away) > opt.MaxUnavailable {
+				t.Fatalf("seed %d: %d away, at most %d may be", seed, len(away), opt.MaxUnavailable)
+			}
+		}
+		if p.Stopped() == "" && (len(p.Done()) != len(all) || len(p.Left()) != 0) {
+			t.Fatalf("seed %d: done %v, left %v", seed, p.Done(), p.Left())
+		}
+	}
+}
+
+func TestStopsWhenTheGroupGetsWorse(t *testing.T) {
+	up := func(string) bool { return true }
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		do   func(p *Plan)
+		word string
+	}{
+		"one does not come back": {func(p *Plan) { p.Ended(now, "n0", errors.New("exit status 1")) }, "n0 did not come back: exit status 1"},
+		"failures rise":          {func(p *Plan) { p.Observe(Counts{Served: 80, Failed: 20}) }, "failed answers rose from 1.0% to 20.0%"},
+		"refusals rise":          {func(p *Plan) { p.Observe(Counts{Served: 50, Refused: 50}) }, "refused answers rose"},
+		"told from outside":      {func(p *Plan) { p.Stop("the time is up") }, "the time is up"},
+	} {
+		p, err := New(Options{Instances: names(3), MaxUnavailable: 1}, Counts{Served: 99, Failed: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if turn := p.Next(now, up); !slices.Equal(turn, []string{"n0"}) {
+			t.Fatalf("first turn %v", turn)
+		}
+		c.do(p)
+		if turn := p.Next(now.Add(time.Hour), up); len(turn) > 0 || !strings.Contains(p.Stopped(), c.word) {
+			t.Errorf("%s: %v, stopped %q, want %q", name, turn, p.Stopped(), c.word)
+		}
+		if left := p.Left(); !slices.Equal(left, []string{"n1", "n2"}) {
+			t.Errorf("%s: left %v", name, left)
+		}
+	}
+}
+
+func TestFewAnswersAreNotJudged(t *testing.T) {
+	p, err := New(Options{Instances: names(2), MaxUnavailable: 1}, Counts{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Observe(Counts{Failed: leastAnswers - 1})
+	p.Observe(Counts{Served: 1000, Failed: 40, Refused: 100})
+	if p.Stopped() != "" {
+		t.Errorf("stopped: %s", p.Stopped())
+	}
+	if _, err := New(Options{Instances: names(1)}, Counts{}); err == nil {
+		t.Error("a plan that could never begin was taken")
+	}
+}
+
+func TestWaitsInVainOnlySoLong(t *testing.T) {
+	p, err := New(Options{Instances: names(3), MaxUnavailable: 1}, Counts{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	if turn := p.Next(now, func(string) bool { return true }); !slices.Equal(turn, []string{"n0"}) {
+		t.Fatalf("first turn %v", turn)
+	}
+	p.Ended(now, "n0", nil)
+	up := func(name string) bool { return name != "n0" } // gone again
+	if turn := p.Next(now, up); len(turn) > 0 {
+		t.Fatalf("restarts %v while one is away", turn)
+	}
+	p.Next(now.Add(stallMost), up)
+	if !strings.Contains(p.Stopped(), "1 instances are away") {
+		t.Errorf("stopped %q", p.Stopped())
+	}
+}
