--- a/cmd/otterstep/main_test.go
+++ b/cmd/otterstep/main_test.go
@@ -91,6 +91,34 @@
 	}
 }
 
+// The operator's file is checked as a whole before anything starts, and -check starts
+// nothing.
+func TestOperatorFileIsChecked(t *testing.T) {
+	config := configFile(t, func(map[string]any) {})
+	file := filepath.Join(t.TempDir(), "operator.toml")
+	run := func(text string, args ...string) (string, error) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd := program(config)
+		cmd.Args = append(cmd.Args, args...)
+		out, err := cmd.CombinedOutput()
+		return string(out), err
+	}
+	if out, err := run("[control]\nsocket = \"/tmp/n1.sock\"\n[drain]\ntell_up = true\n", "-check", "-operator", file); err != nil || out != "" {
+		t.Errorf("a good file: %v, %s", err, out)
+	}
+	out, err := run("[control]\nsocket = \"n1.sock\"\n[drian]\ntell_up = true\n", "-operator", file)
+	for _, want := range []string{"operator.toml:2: control.socket:", "operator.toml:3: drian: unknown key, did you mean drain?"} {
+		if err == nil || !strings.Contains(out, want) {
+			t.Errorf("lacks %q: %v, %s", want, err, out)
+		}
+	}
+	if out, err := run("", "-operator", file, "more"); err == nil || !strings.Contains(out, "unexpected argument") {
+		t.Errorf("an argument too many: %v, %s", err, out)
+	}
+}
+
 // Guards rule 1 at a reload and a planned restart: under load every connection that came
 // before the node stopped accepting gets its whole answer, and the exit code is 0.
 func TestSignalsUnderLoadLoseNothing(t *testing.T) {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -42,6 +43,11 @@
 func Run(root *cobra.Command) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	return RunWith(ctx, root, os.Stderr)
+}
+
+// RunWith is Run with a context, and another place for what goes wrong.
+func RunWith(ctx context.Context, root *cobra.Command, stderr io.Writer) int {
 	understood := false
 	root.SilenceErrors, root.SilenceUsage = true, true
 	root.PersistentPreRun = func(*cobra.Command, []string) { understood = true }
@@ -58,7 +64,7 @@
 		code = Usage
 	}
 	if exit == nil || exit.Err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", root.Name(), err)
+		fmt.Fprintf(stderr, "%s: %v\n", root.Name(), err)
 	}
 	return code
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -11,8 +11,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+
+	"go.uber.org/goleak"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func serve(t *testing.T, inspect func(context.Context) (Inspection, error)) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "s")
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -420,11 +420,9 @@
 
 // mine gives a command if the operator may work on it.
 func (a *Agent) mine(id, operator string) (*protocol.Command, error) {
-	a.mu.RLock()
-	defer a.mu.RUnlock()
-	c := a.book.Command(id)
-	if c == nil {
-		return nil, notFound(id)
+	c, err := a.command(id)
+	if err != nil {
+		return nil, err
 	}
 	if c.Operator != operator {
 		return nil, &protocol.Error{
@@ -515,11 +513,9 @@
 // abort ends a command, whoever gave it, and gives up what of it was interrupted.
 // An operation under way goes on to its end: half of one helps nobody.
 func (a *Agent) abort(id, operator string) (*protocol.Command, error) {
-	a.mu.RLock()
-	c := a.book.Command(id)
-	a.mu.RUnlock()
-	if c == nil {
-		return nil, notFound(id)
+	c, err := a.command(id)
+	if err != nil {
+		return nil, err
 	}
 	reason := "aborted by " + operator
 	for _, o := range c.Operations {
@@ -534,9 +530,17 @@
 			return nil, err
 		}
 	}
+	return a.command(id)
+}
+
+func (a *Agent) command(id string) (*protocol.Command, error) {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
-	return a.book.Command(id), nil
+	c := a.book.Command(id)
+	if c == nil {
+		return nil, notFound(id)
+	}
+	return c, nil
 }
 
 func (a *Agent) commands(n int) []*protocol.Command {
--- a/internal/fleet/agent/server.go
+++ b/internal/fleet/agent/server.go
@@ -136,6 +136,7 @@
 	handle("GET /v1/instances", pki.Viewer, func(*http.Request, caller) (any, error) { return a.instances(), nil })
 	handle("GET /v1/instances/{name}/inspect", pki.Viewer, func(r *http.Request, _ caller) (any, error) { return a.inspect(r) })
 	handle("GET /v1/commands", pki.Viewer, func(*http.Request, caller) (any, error) { return a.commands(commandsShown), nil })
+	handle("GET /v1/commands/{id}", pki.Viewer, func(r *http.Request, _ caller) (any, error) { return a.command(r.PathValue("id")) })
 	handle("POST /v1/commands", pki.Operator, func(r *http.Request, c caller) (any, error) {
 		var q protocol.CommandRequest
 		if err := read(r, &q); err != nil {
--- a/internal/fleet/client/client.go
+++ b/internal/fleet/client/client.go
@@ -143,6 +143,11 @@
 	return list, c.call(ctx, http.MethodGet, "/commands", nil, &list)
 }
 
+// Command asks for one command.
+func (c *Client) Command(ctx context.Context, id string) (k protocol.Command, err error) {
+	return k, c.call(ctx, http.MethodGet, "/commands/"+url.PathEscape(id), nil, &k)
+}
+
 // Open opens a command.
 func (c *Client) Open(ctx context.Context, r protocol.CommandRequest) (k protocol.Command, err error) {
 	return k, c.call(ctx, http.MethodPost, "/commands", r, &k)
@@ -160,7 +165,7 @@
 
 // Abort ends a command, whoever gave it.
 func (c *Client) Abort(ctx context.Context, id string) (k protocol.Command, err error) {
-	return k, c.call(ctx, http.MethodPost, "/commands/"+id+"/abort", nil, &k)
+	return k, c.call(ctx, http.MethodPost, "/commands/"+url.PathEscape(id)+"/abort", nil, &k)
 }
 
 // Run begins a command's operation on an instance, or finds it begun.
--- a/internal/fleet/ctl/ctl.go
+++ b/internal/fleet/ctl/ctl.go
@@ -309,13 +309,7 @@
 			Use: "show ID", Short: "Show a command with its operations and their steps", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
 				return o.with(c, func(ctx context.Context, f *group.Fleet) error {
-					all, silent := f.Commands(ctx)
-					parts := []group.Part{}
-					for _, p := range all {
-						if p.ID == args[0] {
-							parts = append(parts, p)
-						}
-					}
+					parts, silent := f.Command(ctx, args[0])
 					if len(parts) == 0 && len(silent) == 0 {
 						return usage("no agent knows of command %s", args[0])
 					}
--- a/internal/fleet/group/command.go
+++ b/internal/fleet/group/command.go
@@ -132,12 +132,9 @@
 
 // resumed finds the command to take up again.
 func (f *Fleet) resumed(ctx context.Context, o *Order, listing Listing) ([]Row, error) {
-	parts, _ := f.Commands(ctx)
+	parts, _ := f.Command(ctx, o.Resume)
 	names := map[string]bool{}
 	for _, p := range parts {
-		if p.ID != o.Resume {
-			continue
-		}
 		if err := json.Unmarshal([]byte(p.Plan), &o.Plan); err != nil {
 			return nil, fmt.Errorf("command %s: its plan can't be read: %w", p.ID, err)
 		}
--- a/internal/fleet/group/group.go
+++ b/internal/fleet/group/group.go
@@ -239,19 +239,30 @@
 	return parts, silent
 }
 
+// Command asks every agent for its part of one command.
+func (f *Fleet) Command(ctx context.Context, id string) ([]Part, []Silent) {
+	return f.parts(func(a *client.Client) (protocol.Command, error) { return a.Command(ctx, id) })
+}
+
 // Abort ends a command at every agent that knows of it.
 func (f *Fleet) Abort(ctx context.Context, id string) ([]Part, []Silent) {
+	return f.parts(func(a *client.Client) (protocol.Command, error) { return a.Abort(ctx, id) })
+}
+
+// parts calls every agent for its part of a command; those that know of none have
+// none.
+func (f *Fleet) parts(call func(a *client.Client) (protocol.Command, error)) ([]Part, []Silent) {
 	began := time.Now()
-	done := make([]*protocol.Command, len(f.agents))
+	found := make([]*protocol.Command, len(f.agents))
 	errs := make([]error, len(f.agents))
 	f.each(func(n int, a *client.Client) {
-		c, err := a.Abort(ctx, id)
+		c, err := call(a)
 		var refused *protocol.Error
 		if errors.As(err, &refused) && refused.Code == protocol.CodeNotFound {
 			return
 		}
 		if errs[n] = err; err == nil {
-			done[n] = &c
+			found[n] = &c
 		}
 	})
 	parts, silent := []Part{}, []Silent{}
@@ -259,8 +270,8 @@
 		if errs[n] != nil {
 			silent = append(silent, silentOf(a.Name(), began, errs[n]))
 		}
-		if done[n] != nil {
-			parts = append(parts, Part{a.Name(), *done[n]})
+		if found[n] != nil {
+			parts = append(parts, Part{a.Name(), *found[n]})
 		}
 	}
 	return parts, silent
--- a/internal/fleet/group/group_test.go
+++ b/internal/fleet/group/group_test.go
@@ -19,6 +19,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"otterstep/internal/fleet/agent"
 	"otterstep/internal/fleet/client"
 	"otterstep/internal/fleet/instance"
@@ -26,6 +28,8 @@
 	"otterstep/internal/standin/instances"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // host is an agent with its machine.
 type host struct {
 	name    string
@@ -275,11 +279,11 @@
 
 func commandsOf(t *testing.T, f *Fleet, id string) []Part {
 	t.Helper()
-	all, silent := f.Commands(t.Context())
+	parts, silent := f.Command(t.Context(), id)
 	if len(silent) > 0 {
 		t.Fatal(silent)
 	}
-	return slices.DeleteFunc(all, func(p Part) bool { return p.ID != id })
+	return parts
 }
 
 // spoilt listens in place of an agent and does its worst.
--- a/internal/fleet/protocol/protocol.go
+++ b/internal/fleet/protocol/protocol.go
@@ -5,6 +5,7 @@
 //	GET    /v1/instances                          []Instance
 //	GET    /v1/instances/{name}/inspect           control.Inspection
 //	GET    /v1/commands                           []Command
+//	GET    /v1/commands/{id}                      Command
 //	POST   /v1/commands                           CommandRequest -> Command
 //	POST   /v1/commands/{id}/renew                Command
 //	POST   /v1/commands/{id}/close                CloseRequest -> Command
--- a/internal/standin/lab/lab_test.go
+++ b/internal/standin/lab/lab_test.go
@@ -5,14 +5,19 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/exec"
 	"os/signal"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"otterstep/internal/control"
 	"otterstep/internal/fleet/agent"
+	"otterstep/internal/fleet/group"
 	"otterstep/internal/fleet/proc"
+	"otterstep/internal/fleet/protocol"
 	"otterstep/internal/node"
 	"otterstep/internal/operator"
 )
@@ -103,6 +108,7 @@
 
 // The control socket tells what the node does, while it serves.
 func TestControlSocketTellsOfABoxThatHangs(t *testing.T) {
+	t.Parallel()
 	l := testLab(t, func(o *Options) { o.Instances, o.Agents = 1, 1 })
 	l.Boxes[0].Hang(true)
 	deadline := time.Now().Add(20 * time.Second)
@@ -130,3 +136,173 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// Ten instances under three agents are restarted under load, two at a time: clients
+// that follow /up lose nothing, and no rule breaks.
+func TestRestartOfTenUnderLoad(t *testing.T) {
+	t.Parallel()
+	l := testLab(t, func(o *Options) { o.Instances, o.Agents, o.Rate = 10, 3, 80 })
+	before := map[string]string{}
+	for _, i := range l.Instances {
+		before[i.Name] = running(t, i).Token
+	}
+	if err := l.Roll(t.Context(), 2, func(r group.Result) { t.Logf("%s/%s %s %s", r.Agent, r.Instance, r.Outcome, r.Text) }); err != nil {
+		t.Fatal(err)
+	}
+	l.Unload()
+	if !l.Print(t.Output()) {
+		t.Error("a rule broke")
+	}
+	served := 0
+	for _, c := range l.Ledger.Report().Counts {
+		served += c[0]
+	}
+	if served < 200 {
+		t.Errorf("%d requests were served, want 200 at least", served)
+	}
+	for _, i := range l.Instances {
+		if p := running(t, i); p.Token == before[i.Name] {
+			t.Errorf("%s was not restarted", i.Name)
+		}
+	}
+}
+
+// running gives an instance's process as its run file has it.
+func running(t *testing.T, i Instance) proc.Run {
+	t.Helper()
+	p, err := proc.Adopt(i.RunFile)
+	if err != nil || p == nil {
+		t.Fatalf("%s does not run: %v", i.Name, err)
+	}
+	defer p.Release()
+	return p.Run
+}
+
+// An agent killed with -9 under load takes no instance down; the next one adopts them
+// and commands them.
+func TestAgentKilledUnderLoad(t *testing.T) {
+	t.Parallel()
+	l := testLab(t, func(o *Options) { o.Agents = 1 })
+	before := map[string]proc.Run{}
+	for _, i := range l.Instances {
+		before[i.Name] = running(t, i)
+	}
+	l.agents[0].kill()
+	served := l.Ledger.Report().Counts["avail-read"][0]
+	waitFor(t, "further answers without an agent", func() bool { return l.Ledger.Report().Counts["avail-read"][0] > served+20 })
+	p, err := l.spawner.run(append(append([]string{}, l.opt.Agent...), "--config", filepath.Join(l.opt.Dir, "m1.toml")), l.opt.AgentEnv, filepath.Join(l.opt.Dir, "m1.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.agents[0] = p
+	waitFor(t, "adoption", func() bool {
+		rows := l.Fleet.List(t.Context()).Rows
+		return len(rows) == 2 && rows[0].State == protocol.StateUp && rows[1].State == protocol.StateUp
+	})
+	for _, i := range l.Instances {
+		if now := running(t, i); now != before[i.Name] {
+			t.Errorf("%s: %+v, was %+v", i.Name, now, before[i.Name])
+		}
+	}
+	if err := l.Roll(t.Context(), 1, nil); err != nil {
+		t.Fatal(err)
+	}
+	// A crash is answered by a new process.
+	now := running(t, l.Instances[0])
+	if err := syscall.Kill(now.Pid, syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "a new process", func() bool {
+		p, err := proc.Adopt(l.Instances[0].RunFile)
+		if err != nil || p == nil {
+			return false
+		}
+		defer p.Release()
+		return p.Token != now.Token
+	})
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for until := time.Now().Add(60 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("no %s in a minute", what)
+		}
+	}
+}
+
+// A lab that is killed with -9 leaves no process behind.
+func TestKilledLabLeavesNothing(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "OTTERLAB_ROLE=lab", "OTTERLAB_DIR="+dir)
+	cmd.Stderr = os.Stderr
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := out.Read(make([]byte, 3)); err != nil {
+		t.Fatal(err)
+	}
+	var pids []proc.Identity
+	for n := range 2 {
+		p, err := proc.Adopt(filepath.Join(dir, fmt.Sprintf("m%d.state", n+1), fmt.Sprintf("n%d.run", n+1)))
+		if err != nil || p == nil {
+			t.Fatal(p, err)
+		}
+		pids = append(pids, p.Identity)
+		p.Release()
+	}
+	if err := cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Wait()
+	for _, id := range pids {
+		waitFor(t, fmt.Sprint("end of process ", id.Pid), func() bool {
+			now, err := proc.Of(id.Pid)
+			return err != nil || now != id
+		})
+	}
+}
+
+func TestCommandsToBoxes(t *testing.T) {
+	t.Parallel()
+	l := testLab(t, func(o *Options) { o.Rate, o.Instances, o.Agents = 0, 1, 1 })
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Serve(ctx) }()
+	dir := l.opt.Dir
+	waitFor(t, "answer of the lab", func() bool { _, err := Ask(ctx, dir, nil); return err == nil })
+	for words, state := range map[string]string{
+		"s1 hang": "hanging", "s1 heal": "ok", "s1 slow 4": "slow", "s1 fail 0.5": "failing", "s1 drain": "draining",
+		"s1 crash": "down", "s1 return": "cold", "s1 leave": "down",
+	} {
+		if words != "s1 heal" {
+			if err := l.Boxes[0].Return(); err != nil {
+				t.Fatal(err)
+			}
+		} else {
+			l.Boxes[0].Hang(true)
+		}
+		if _, err := Ask(ctx, dir, strings.Fields(words)); err != nil {
+			t.Errorf("%s: %v", words, err)
+		}
+		text, err := Ask(ctx, dir, nil)
+		if got := l.Boxes[0].State(); err != nil || got != state && !(state == "ok" && got == "cold") || !strings.Contains(text, "s1 "+got) {
+			t.Errorf("%s: %s, %v, want %s in %q", words, got, err, state, text)
+		}
+	}
+	for _, words := range []string{"s9 hang", "s1", "s1 slow", "s1 slow x", "s1 slow -1", "s1 explode", "s1 hang 3"} {
+		if _, err := Ask(ctx, dir, strings.Fields(words)); err == nil {
+			t.Errorf("%q was taken", words)
+		}
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
