--- a/internal/fleet/ctl/ctl.go
+++ b/internal/fleet/ctl/ctl.go
@@ -43,7 +43,7 @@
 	o := &options{}
 	root.PersistentFlags().StringVar(&o.fleet, "fleet", "", "`file` that lists the agents; $"+fleetVar+" or fleet.toml if not given")
 	root.PersistentFlags().StringVarP(&o.output, "output", "o", "table", "table, wide or json")
-	root.PersistentFlags().DurationVar(&o.timeout, "timeout", 30*time.Second, "for the whole command, however many agents hang")
+	root.PersistentFlags().DurationVar(&o.timeout, "timeout", 30*time.Second, "for the whole command, however many agents hang; 5s if it only looks")
 	root.AddCommand(o.list(), o.inspect(), o.agents(), o.watch(), o.ops(), pkiCommand())
 	for kind, short := range map[string]string{
 		protocol.Start:   "Start instances and wait until they serve",
@@ -87,6 +87,18 @@
 	return f, nil
 }
 
+// lookFor is the time limit of what only looks: one agent that hangs should not
+// keep the operator from seeing the others for long.
+const lookFor = 5 * time.Second
+
+// look is with for what only looks.
+func (o *options) look(c *cobra.Command, do func(ctx context.Context, f *group.Fleet) error) error {
+	if !c.Flags().Changed("timeout") {
+		o.timeout = lookFor
+	}
+	return o.with(c, do)
+}
+
 // with runs a command on the fleet within the time limit.
 func (o *options) with(c *cobra.Command, do func(ctx context.Context, f *group.Fleet) error) error {
 	f, err := o.open()
@@ -143,7 +155,7 @@
 		if err != nil {
 			return err
 		}
-		return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+		return o.look(c, func(ctx context.Context, f *group.Fleet) error {
 			l := f.List(ctx)
 			if !s.Empty() {
 				rows, err := l.Select(s)
@@ -169,8 +181,8 @@
 		if s.Empty() {
 			return usage("inspect: name instances, or all")
 		}
-		return o.with(c, func(ctx context.Context, f *group.Fleet) error {
-			l := f.List(ctx)
+		return o.look(c, func(ctx context.Context, f *group.Fleet) error {
+			l := f.ListFirst(ctx)
 			rows, err := l.Select(s)
 			if err != nil && len(l.Silent) == 0 {
 				return &cli.Exit{Code: cli.Usage, Err: err}
@@ -199,7 +211,7 @@
 	return &cobra.Command{
 		Use: "agents", Short: "List the agents", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+			return o.look(c, func(ctx context.Context, f *group.Fleet) error {
 				agents, silent := f.Agents(ctx)
 				answer := struct {
 					Agents []protocol.Agent `json:"agents"`
@@ -299,7 +311,7 @@
 		&cobra.Command{
 			Use: "list", Short: "List the latest commands", Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error {
-				return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+				return o.look(c, func(ctx context.Context, f *group.Fleet) error {
 					parts, silent := f.Commands(ctx)
 					return o.showParts(c, parts, silent, func(p *printer) { p.commands(parts) })
 				})
@@ -308,7 +320,7 @@
 		&cobra.Command{
 			Use: "show ID", Short: "Show a command with its operations and their steps", Args: cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
-				return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+				return o.look(c, func(ctx context.Context, f *group.Fleet) error {
 					parts, silent := f.Command(ctx, args[0])
 					if len(parts) == 0 && len(silent) == 0 {
 						return usage("no agent knows of command %s", args[0])
--- a/internal/fleet/group/command.go
+++ b/internal/fleet/group/command.go
@@ -85,7 +85,7 @@
 	if o.Progress == nil {
 		o.Progress = func(Result) {}
 	}
-	listing := f.listFirst(ctx)
+	listing := f.ListFirst(ctx)
 	var rows []Row
 	var err error
 	if o.Resume != "" {
@@ -132,7 +132,9 @@
 
 // resumed finds the command to take up again.
 func (f *Fleet) resumed(ctx context.Context, o *Order, listing Listing) ([]Row, error) {
-	parts, _ := f.Command(ctx, o.Resume)
+	limit, cancel := first(ctx)
+	parts, _ := f.Command(limit, o.Resume)
+	cancel()
 	names := map[string]bool{}
 	for _, p := range parts {
 		if err := json.Unmarshal([]byte(p.Plan), &o.Plan); err != nil {
@@ -407,7 +409,7 @@
 func (c *command) refresh(ctx context.Context, up map[string]bool) {
 	limit, cancel := context.WithTimeout(ctx, healthEvery)
 	defer cancel()
-	for _, r := range c.fleet.List(limit).Rows {
+	for _, r := range New(c.held).List(limit).Rows { // others have nothing to say here
 		if key := r.Agent + "/" + r.Name; slices.Contains(c.names, key) {
 			if _, known := up[key]; known {
 				up[key] = r.State == protocol.StateUp
--- a/internal/fleet/group/group.go
+++ b/internal/fleet/group/group.go
@@ -93,17 +93,18 @@
 	return l
 }
 
-// listFirst is List before a command.
-func (f *Fleet) listFirst(ctx context.Context) Listing {
-	limit := listMost
-	if end, ok := ctx.Deadline(); ok {
-		limit = min(limit, time.Until(end)/listShare)
-	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+// ListFirst is List before something else: agents that hang leave time for that.
+func (f *Fleet) ListFirst(ctx context.Context) Listing {
+	ctx, cancel := first(ctx)
 	defer cancel()
 	return f.List(ctx)
 }
 
+// first gives the time for what comes before something else.
+func first(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, min(listMost, remaining(ctx)/listShare))
+}
+
 // Selector names instances. Names, if any, are an instance's name or AGENT/NAME, or
 // "all"; the group and the labels narrow them down.
 type Selector struct {
--- a/internal/fleet/group/group_test.go
+++ b/internal/fleet/group/group_test.go
@@ -353,6 +353,30 @@
 	}
 }
 
+// Agents that hang leave the time that it takes to inspect and to resume the rest.
+func TestHangingAgentsLeaveTime(t *testing.T) {
+	t.Parallel()
+	hosts := startHosts(t, 1, 2)
+	done := give(t, fleet(t, hosts), Order{Plan: Plan{Kind: protocol.Reload}, Select: everything}, 5*time.Second)
+	hosts = append(hosts, spoilt(t, "m00-hangs", func(c net.Conn) { io.Copy(io.Discard, c) }))
+	f := fleet(t, hosts)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	l := f.ListFirst(ctx)
+	for _, i := range f.Inspect(ctx, l.Rows) {
+		if i.Inspection == nil {
+			t.Errorf("%s: %s", i.Name, i.Err)
+		}
+	}
+	if len(l.Rows) != 2 || len(l.Silent) != 1 {
+		t.Errorf("%+v", l)
+	}
+	r := give(t, f, Order{Resume: done.ID}, 6*time.Second)
+	if outcomes(r)[Done] != 2 {
+		t.Errorf("resumed: %+v", r)
+	}
+}
+
 // An agent that hangs once it has been listed costs only its own instances.
 func TestAgentHangsInTheMiddle(t *testing.T) {
 	t.Parallel()
