--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -273,6 +273,7 @@
 
 	fsys := &mortal{dieAt: n, before: before}
 	l = w.start(fsys)
+	w.settled(l) // no tool is answered before the agent has adopted what runs
 	starts := map[string]int{"a": w.machine.Starts("a"), "b": w.machine.Starts("b")}
 	r := w.request(l, kind)
 	_, gave := w.give(l, r)
@@ -792,6 +793,9 @@
 }
 
 func TestConfigIsCheckedAsAWhole(t *testing.T) {
+	if c, err := LoadConfig("../../../deploy/agent.toml"); err != nil || len(c.Instance) != 1 || c.Instance[0].Labels["room"] == "" {
+		t.Errorf("the example: %+v, %v", c, err)
+	}
 	dir := t.TempDir()
 	path := filepath.Join(dir, "agent.toml")
 	if err := os.WriteFile(path, []byte("name = \"m 1\"\nlisten = \"nowhere\"\nstat = \"x\"\n\n[restart]\nlimit = 0\n[[instance]]\nname = \"a\"\nprogram = [\"x\"]\nlisten = \"127.0.0.1:1\"\n[[instance]]\nname = \"a\"\nconfig = \"none.json\"\n"), 0o600); err != nil {
--- a/internal/fleet/group/config.go
+++ b/internal/fleet/group/config.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"path/filepath"
+	"strings"
 
 	"otterstep/internal/fleet/client"
 	"otterstep/internal/fleet/pki"
@@ -39,15 +40,15 @@
 	if err := f.Err(); err != nil {
 		return nil, err
 	}
+	at := func(p string) string {
+		if filepath.IsAbs(p) {
+			return p
+		}
+		return filepath.Join(filepath.Dir(path), p)
+	}
 	var conf *tls.Config
 	switch {
 	case file.CA != "" && file.Cert != "" && file.Key != "":
-		at := func(p string) string {
-			if filepath.IsAbs(p) {
-				return p
-			}
-			return filepath.Join(filepath.Dir(path), p)
-		}
 		if conf, err = pki.ClientConfig(at(file.CA), at(file.Cert), at(file.Key)); err != nil {
 			f.Bad("cert", "%v", err)
 		}
@@ -70,7 +71,11 @@
 			continue
 		}
 		names[a.Name] = true
-		c, err := client.New(a.Name, a.Address, conf)
+		address := a.Address
+		if path, ok := strings.CutPrefix(address, "unix:"); ok && path != "" {
+			address = "unix:" + at(path)
+		}
+		c, err := client.New(a.Name, address, conf)
 		if err != nil {
 			f.Bad(key("address"), "%v", err)
 			continue
--- a/internal/fleet/group/group_test.go
+++ b/internal/fleet/group/group_test.go
@@ -577,6 +577,9 @@
 }
 
 func TestFleetFileIsChecked(t *testing.T) {
+	if f, err := Load("../../../deploy/fleet.toml"); err != nil || len(f.agents) != 1 {
+		t.Errorf("the example: %v", err)
+	}
 	path := filepath.Join(t.TempDir(), "fleet.toml")
 	if err := os.WriteFile(path, []byte("[[agent]]\nname = \"a\"\naddress = \"http://x\"\n[[agent]]\nname = \"a\"\naddress = \"unix:/s\"\n"), 0o600); err != nil {
 		t.Fatal(err)
