Split the core off the HTTP loop: internal/core drives one pool, knows no protocol

Need: SIP and further fronts must go through the same module and loop. The loop moved from internal/node as it was; a front hands it a core.Request (class, tenant, key, name, deadline) and a core.Message that makes one attempt and asks begin before its first byte. HTTP is its first front. Tests of the core in no protocol at all: each request ends once, unsafe work runs once, nothing begins that was given up.

--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,298 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"otterstep/policy"
+)
+
+func settings() policy.Settings {
+	s := policy.Defaults()
+	for _, e := range []policy.Effect{policy.Safe, policy.Keyed, policy.Unsafe} {
+		s.Classes = append(s.Classes, policy.Class{Deadline: 2 * time.Second, Aim: time.Second, Worth: 1, Effect: e, Window: time.Hour})
+	}
+	s.Limits = policy.Limits{MaxAttempts: 4, SecondCopies: true, Cancel: true, MaxRetryAfter: time.Second}
+	return s
+}
+
+// start runs a loop in a bubble until the test's end, with ready servers 1 to n.
+func start(t *testing.T, seed uint64, n int) (l *Loop, stop func()) {
+	t.Helper()
+	l, err := New(Options{Settings: settings(), Seed: seed, Clock: NewClock(), Watch: func() {}, Drop: func(Server) {}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.Run(ctx)
+	var entries []policy.Entry
+	var addrs []string
+	for i := range n {
+		entries = append(entries, policy.Entry{Server: policy.ServerID(i + 1), State: policy.Ready, Weight: 1})
+		addrs = append(addrs, fmt.Sprint("server ", i+1))
+	}
+	l.Members(policy.ListFull, entries, addrs)
+	return l, func() {
+		cancel()
+		<-l.Stopped()
+	}
+}
+
+// message is a front's in no protocol at all: attempt plays a server.
+type message struct {
+	mu      sync.Mutex
+	begun   []Server
+	ran     int // attempts that have run at their server, or may have
+	attempt func(ctx context.Context, to Server, wait time.Duration) (policy.Status, bool)
+}
+
+func (m *message) Attempt(ctx context.Context, to Server, wait time.Duration, begin func() bool) Reply {
+	if !begin() {
+		return Reply{Status: policy.Moot}
+	}
+	m.mu.Lock()
+	m.begun = append(m.begun, to)
+	m.mu.Unlock()
+	status, ran := m.attempt(ctx, to, wait)
+	if ran {
+		m.mu.Lock()
+		m.ran++
+		m.mu.Unlock()
+	}
+	return Reply{Status: status, Body: to.Addr}
+}
+
+// says answers at once with one status.
+func says(s policy.Status) func(context.Context, Server, time.Duration) (policy.Status, bool) {
+	return func(context.Context, Server, time.Duration) (policy.Status, bool) { return s, s == policy.OK }
+}
+
+// Whatever servers do and clients put up with: each request ends once, in its time;
+// an unsafe one runs once at most, and one that has run is not refused.
+func TestEachRequestEndsOnce(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l, stop := start(t, seed, 4)
+				defer stop()
+				rng := rand.New(rand.NewPCG(seed, 6))
+				var mu sync.Mutex // over rng
+				chance := func(n int) int {
+					mu.Lock()
+					defer mu.Unlock()
+					return rng.IntN(n)
+				}
+				var clients sync.WaitGroup
+				for n := range 150 {
+					time.Sleep(time.Duration(chance(20)) * time.Millisecond)
+					m := &message{attempt: func(ctx context.Context, _ Server, wait time.Duration) (policy.Status, bool) {
+						select {
+						case <-time.After(time.Duration(chance(60)) * time.Millisecond):
+						case <-ctx.Done():
+							return policy.Reset, true
+						}
+						switch chance(8) {
+						case 0:
+							return policy.ConnectFailed, false
+						case 1:
+							return policy.Full, false
+						case 2:
+							return policy.Error, true
+						case 3:
+							return policy.Reset, true
+						case 4:
+							select { // silent
+							case <-ctx.Done():
+							case <-time.After(wait):
+							}
+							return policy.Timeout, true
+						}
+						return policy.OK, true
+					}}
+					class, leaves := chance(3), chance(10) == 0
+					answers := make(chan Answer, 2)
+					left := time.Duration(100+chance(1900)) * time.Millisecond
+					began := time.Now()
+					ticket, ok := l.Submit(Request{
+						Request: policy.Request{Class: class, Key: uint64(n)}, Name: fmt.Sprint(n),
+						Deadline: l.Clock().Now() + left, Message: m, Answers: answers,
+					})
+					if !ok {
+						t.Fatal("not taken")
+					}
+					clients.Go(func() {
+						if leaves {
+							time.Sleep(time.Duration(chance(50)) * time.Millisecond)
+							l.Leave(ticket)
+							time.Sleep(5 * time.Second)
+							if len(answers) > 1 {
+								t.Errorf("%d: %d answers", n, len(answers))
+							}
+							return
+						}
+						a := <-answers
+						if took := time.Since(began); took > left {
+							t.Errorf("%d: ended after %v of %v", n, took, left)
+						}
+						time.Sleep(5 * time.Second)
+						m.mu.Lock()
+						defer m.mu.Unlock()
+						if len(answers) > 0 {
+							t.Errorf("%d: a second answer", n)
+						}
+						if class == 2 && (m.ran > 1 || a.Kind == Refused && m.ran > 0) {
+							t.Errorf("%d: an unsafe request ran %d times and ended as %v", n, m.ran, a.Kind)
+						}
+						if a.Kind == Served && a.Body == nil {
+							t.Errorf("%d: served nothing", n)
+						}
+					})
+				}
+				clients.Wait()
+				v, err := l.Inspect(t.Context())
+				if err != nil || v.Requests != 0 || v.Timers > 2 || v.Open != 0 || v.Members != 4 {
+					t.Errorf("left behind: %+v, %v", v, err)
+				}
+				ends := int64(0)
+				for _, class := range v.Counts {
+					for _, n := range class {
+						ends += n
+					}
+				}
+				if ends != 150 {
+					t.Errorf("%d ends were counted, want 150", ends)
+				}
+			})
+		})
+	}
+}
+
+// ask hands a request over and waits for its end.
+func ask(t *testing.T, l *Loop, name string, class int, m Message) Answer {
+	t.Helper()
+	answers := make(chan Answer, 1)
+	if _, ok := l.Submit(Request{
+		Request: policy.Request{Class: class}, Name: name, Deadline: l.Clock().Now() + time.Second, Message: m, Answers: answers,
+	}); !ok {
+		t.Fatal("not taken")
+	}
+	return <-answers
+}
+
+func TestNamesAreTakenOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, stop := start(t, 1, 1)
+		defer stop()
+		m := &message{attempt: says(policy.OK)}
+		if a := ask(t, l, "x", 0, m); a.Kind != Served || a.Body != "server 1" {
+			t.Errorf("first: %+v", a)
+		}
+		if a := ask(t, l, "x", 0, m); a.Kind != Duplicate || len(m.begun) != 1 {
+			t.Errorf("second: %+v, %d attempts", a, len(m.begun))
+		}
+		time.Sleep(time.Minute)
+		if a := ask(t, l, "x", 0, m); a.Kind != Served {
+			t.Errorf("a minute later: %+v", a)
+		}
+	})
+}
+
+// A request that the server can't use is at fault itself: it fails at once, goes
+// nowhere else, and is not held against the server.
+func TestRejectedRequestsFailAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, stop := start(t, 1, 3)
+		defer stop()
+		for n := range 10 {
+			if a := ask(t, l, fmt.Sprint(n), 0, rejecting{}); a.Kind != Failed {
+				t.Errorf("%+v", a)
+			}
+		}
+		v, err := l.Inspect(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, s := range v.Servers {
+			if s.Breaker != "closed" || s.Success < 1 {
+				t.Errorf("%+v", s)
+			}
+		}
+	})
+}
+
+type rejecting struct{}
+
+func (rejecting) Attempt(_ context.Context, _ Server, _ time.Duration, begin func() bool) Reply {
+	begin()
+	return Reply{Status: policy.Error, Rejected: true}
+}
+
+// Nothing begins at a server once the loop has given the attempt up.
+func TestGivenUpAttemptsNeverBegin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, stop := start(t, 1, 1)
+		defer stop()
+		m := &late{began: make(chan bool, 1)}
+		if a := ask(t, l, "x", 2, m); a.Kind != Refused {
+			t.Errorf("ended as %v, want a refusal, as nothing was sent", a.Kind)
+		}
+		if <-m.began {
+			t.Error("it began after the client's time")
+		}
+	})
+}
+
+// late takes long to connect, whatever its context says.
+type late struct{ began chan bool }
+
+func (m *late) Attempt(_ context.Context, _ Server, _ time.Duration, begin func() bool) Reply {
+	time.Sleep(3 * time.Second)
+	m.began <- begin()
+	return Reply{Status: policy.Moot}
+}
+
+func TestServersThatAreGoneAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dropped []string
+		l, err := New(Options{Settings: settings(), Clock: NewClock(), Watch: func() {}, Drop: func(s Server) { dropped = append(dropped, s.Addr) }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go l.Run(ctx)
+		list := func(kind policy.ListKind, addr string, e policy.Entry) {
+			l.Members(kind, []policy.Entry{e}, []string{addr})
+		}
+		list(policy.ListFull, "a", policy.Entry{Server: 1, State: policy.Ready})
+		list(policy.ListDelta, "a", policy.Entry{Server: 1, State: policy.Draining})
+		list(policy.ListDelta, "b", policy.Entry{Server: 1, State: policy.Ready})                       // another address
+		list(policy.ListDelta, "b", policy.Entry{Server: 1, State: policy.Ready, Started: time.Second}) // another process
+		list(policy.ListDelta, "b", policy.Entry{Server: 1, State: policy.Gone})
+		list(policy.ListDelta, "b", policy.Entry{Server: 1, State: policy.Gone})
+		if got := fmt.Sprint(dropped); got != "[a b b]" {
+			t.Errorf("dropped %v", got)
+		}
+	})
+}
+
+func TestStoppedLoopTakesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, stop := start(t, 1, 1)
+		stop()
+		for range 300 { // more than its queue holds
+			if _, ok := l.Submit(Request{Answers: make(chan Answer, 1)}); !ok {
+				break
+			}
+		}
+		if _, err := l.Inspect(t.Context()); err == nil {
+			t.Error("it was inspected")
+		}
+		l.Members(policy.ListFull, nil, nil) // must return
+	})
+}
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -142,22 +142,6 @@
 	}
 }
 
-func TestRecentIDsForgetInTheEnd(t *testing.T) {
-	ids := newRecentIDs(nil)
-	if !ids.add(0, "a") || ids.add(ids.every, "a") {
-		t.Error("an id must be new once, and known for a while")
-	}
-	for i := range 1000 {
-		ids.add(time.Duration(i)*ids.every/100, fmt.Sprint("b", i))
-	}
-	if n := len(ids.young) + len(ids.old); n > 250 {
-		t.Errorf("%d ids held, want those of two generations", n)
-	}
-	if !ids.add(100*ids.every, "a") {
-		t.Error("an id is held for good")
-	}
-}
-
 // Guards against a node that silent connections shut: new ones never became idle,
 // so hundreds filled the cap and stalled the listener for seconds.
 func TestSilentConnectionsMakeRoom(t *testing.T) {
@@ -273,7 +257,7 @@
 // Guards the memory limit: bodies are bounded together, by their declared lengths
 // and before any of it is read.
 func TestLargeBodiesHaveABudget(t *testing.T) {
-	f := newFront(&loop{clock: newClock()}, wire.Site{Classes: []string{"book"}}, newClients(8), 10<<10, func() bool { return true })
+	f := newFront(idle(t), nil, wire.Site{Classes: []string{"book"}}, newClients(8), 10<<10, func() bool { return true })
 	f.site.Settings.Classes = siteOf(t, settings).Settings.Classes[2:]
 	ask := func() (code int, read int64) {
 		body := &countingReader{}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"otterstep/internal/core"
 	"otterstep/policy"
 )
 
@@ -50,7 +51,7 @@
 	addr  string
 	asked bool // discovery is one service for all: the module says when to call again
 	zones []string
-	clock clock
+	clock core.Clock
 	log   *slog.Logger
 	// members hands a list on; endpoints go with the entries.
 	members func(kind policy.ListKind, entries []policy.Entry, endpoints []string)
@@ -66,7 +67,7 @@
 	listed  bool // rev is discovery's own
 }
 
-func newDiscovery(addr string, asked bool, zones []string, c clock, log *slog.Logger) *discovery {
+func newDiscovery(addr string, asked bool, zones []string, c core.Clock, log *slog.Logger) *discovery {
 	return &discovery{
 		addr: addr, asked: asked, zones: zones, clock: c, log: log, wanted: make(chan struct{}, 1), moves: make(chan string),
 		client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
@@ -211,7 +212,7 @@
 	for i, t := range targets {
 		entries[i] = policy.Entry{
 			Server: serverID(t.UID), Zone: slices.Index(d.zones, t.AZ), Cell: t.PodGroup,
-			State: state(t.State), Weight: max(0, t.CapacityHint), Started: d.clock.fromUnixMs(t.BootMs),
+			State: state(t.State), Weight: max(0, t.CapacityHint), Started: d.clock.FromUnixMs(t.BootMs),
 		}
 		endpoints[i] = t.Endpoint
 		if kind == policy.ListDelta {
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"otterstep/internal/core"
 	"otterstep/internal/wire"
 	"otterstep/policy"
 )
@@ -18,7 +19,8 @@
 // front is the client side: it turns requests into events of the loop and the
 // loop's answers into responses.
 type front struct {
-	loop     *loop
+	loop     *core.Loop
+	upstream *upstream
 	site     wire.Site
 	clients  *clients
 	ready    func() bool
@@ -47,9 +49,9 @@
 
 func (b *budget) giveBack(n int64) { b.held.Add(-n) }
 
-func newFront(l *loop, site wire.Site, g *clients, bodies int64, ready func() bool) *front {
+func newFront(l *core.Loop, up *upstream, site wire.Site, g *clients, bodies int64, ready func() bool) *front {
 	f := &front{
-		loop: l, site: site, clients: g, ready: ready, bodies: budget{most: bodies},
+		loop: l, upstream: up, site: site, clients: g, ready: ready, bodies: budget{most: bodies},
 		classes: map[string]int{}, tenants: map[string]int{},
 	}
 	for i, name := range site.Classes {
@@ -74,7 +76,7 @@
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	came := f.loop.clock.now()
+	came := f.loop.Clock().Now()
 	full := f.clients.full()
 	if r.URL.Path == "/up" {
 		f.close(w)
@@ -93,7 +95,7 @@
 	}
 	if err == nil && full { // nothing was sent for it, so that the promise of a refusal holds
 		w.Header().Set("Connection", "close")
-		write(w, answer{kind: refused, retryAfter: f.site.Settings.Limits.MaxRetryAfter})
+		write(w, core.Answer{Kind: core.Refused, RetryAfter: f.site.Settings.Limits.MaxRetryAfter})
 		return
 	}
 	if err == nil {
@@ -107,23 +109,24 @@
 	// A connection that can't take this back is broken and shows as such.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 
-	answers := make(chan answer, 1)
-	var taken *request
-	if !f.loop.post(func() { taken = f.loop.submit(q, m, answers) }) {
+	answers := make(chan core.Answer, 1)
+	q.Message, q.Answers = m, answers
+	taken, ok := f.loop.Submit(q)
+	if !ok {
 		http.Error(w, "shutting down", http.StatusServiceUnavailable)
 		return
 	}
 	select {
 	case a := <-answers:
-		if a.kind == duplicate {
+		if a.Kind == core.Duplicate {
 			f.turnDown(w, &clientError{http.StatusConflict, "X-Correlation-Id: in use"})
 			return
 		}
 		f.close(w)
 		write(w, a)
 	case <-r.Context().Done(): // the client went away
-		f.loop.post(func() { f.loop.left(taken) })
-	case <-f.loop.stopped:
+		f.loop.Leave(taken)
+	case <-f.loop.Stopped():
 		http.Error(w, "shutting down", http.StatusBadGateway)
 	}
 }
@@ -159,7 +162,7 @@
 }
 
 // parse looks at all but the body. What it can't make sense of is an error at once.
-func (f *front) parse(r *http.Request, came time.Duration) (q policy.Request, m *message, err error) {
+func (f *front) parse(r *http.Request, came time.Duration) (q core.Request, m *message, err error) {
 	if len(r.TransferEncoding) > 0 {
 		// net/http has dropped a Content-Length beside it by now. Two lengths may
 		// hide a second request in the first one's body, so none of these passes;
@@ -214,9 +217,10 @@
 	if r.ContentLength > maxBody {
 		return q, nil, &clientError{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
 	}
+	q.Name, q.Deadline = id, came+min(left, rules.Deadline)
 	m = &message{
 		method: r.Method, uri: r.RequestURI, host: r.Host,
-		header: make(http.Header, len(forwarded)), deadline: came + min(left, rules.Deadline),
+		header: make(http.Header, len(forwarded)), upstream: f.upstream,
 	}
 	for _, name := range forwarded {
 		if values := r.Header[name]; len(values) > 0 {
@@ -258,24 +262,25 @@
 
 // write passes an answer on. An error of the connection is the client's leaving:
 // the answer was given.
-func write(w http.ResponseWriter, a answer) {
-	switch a.kind {
-	case served:
-		if a.reply.contentType != "" {
-			w.Header().Set("Content-Type", a.reply.contentType)
+func write(w http.ResponseWriter, a core.Answer) {
+	switch a.Kind {
+	case core.Served:
+		p := a.Body.(reply)
+		if p.contentType != "" {
+			w.Header().Set("Content-Type", p.contentType)
 		} else {
 			w.Header()["Content-Type"] = nil // don't guess it from the body
 		}
-		w.Header().Set("Content-Length", strconv.Itoa(len(a.reply.body)))
-		_, _ = w.Write(a.reply.body)
-	case refused:
-		if a.retryAfter > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+		w.Header().Set("Content-Length", strconv.Itoa(len(p.body)))
+		_, _ = w.Write(p.body)
+	case core.Refused:
+		if a.RetryAfter > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
 		}
 		http.Error(w, "refused, try again", http.StatusServiceUnavailable)
-	case failed:
+	case core.Failed:
 		http.Error(w, "failed", http.StatusBadGateway)
-	case overdue:
+	case core.Overdue:
 		http.Error(w, "no answer in time", http.StatusGatewayTimeout)
 	}
 }
--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -12,14 +11,14 @@
 
 	"otterstep/internal/buildinfo"
 	"otterstep/internal/control"
-	"otterstep/policy"
+	"otterstep/internal/core"
 )
 
 // inspector answers the control socket with what the node's parts know.
 type inspector struct {
 	cfg     Config
 	listen  string
-	loop    *loop
+	loop    *core.Loop
 	clients *clients
 	started time.Time
 
@@ -28,8 +27,8 @@
 	reloadErr error
 }
 
-func newInspector(cfg Config, listen string, l *loop, g *clients) *inspector {
-	return &inspector{cfg: cfg, listen: listen, loop: l, clients: g, started: l.clock.start}
+func newInspector(cfg Config, listen string, l *core.Loop, g *clients) *inspector {
+	return &inspector{cfg: cfg, listen: listen, loop: l, clients: g, started: l.Clock().Start()}
 }
 
 // reloaded notes how a reload ended.
@@ -56,33 +55,11 @@
 	return "ready"
 }
 
-// inspect has the loop copy what it owns, as one event among the others; all else
-// is put together outside it.
+// inspect puts together what the loop and the other parts know.
 func (i *inspector) inspect(ctx context.Context, state string) (control.Inspection, error) {
-	var view policy.View
-	var endpoints map[policy.ServerID]backend
-	var counts [][answerKinds + 1]int64
-	copied := make(chan struct{})
-	event := func() {
-		view = i.loop.balancer.Inspect(i.loop.now)
-		endpoints = make(map[policy.ServerID]backend, len(view.Servers))
-		for _, s := range view.Servers {
-			endpoints[s.Server] = i.loop.servers[s.Server]
-		}
-		counts = append(counts, i.loop.counts...)
-		close(copied)
-	}
-	select {
-	case i.loop.events <- event:
-	case <-i.loop.stopped:
-		return control.Inspection{}, errors.New("the node has stopped")
-	case <-ctx.Done():
-		return control.Inspection{}, fmt.Errorf("the loop is busy: %w", ctx.Err())
-	}
-	select {
-	case <-copied:
-	case <-i.loop.stopped:
-		return control.Inspection{}, errors.New("the node has stopped")
+	view, err := i.loop.Inspect(ctx)
+	if err != nil {
+		return control.Inspection{}, err
 	}
 	a := control.Inspection{
 		Form: control.Version, Name: i.cfg.Name, Version: buildinfo.Version(), Started: i.started, State: state, Listen: i.listen,
@@ -93,18 +70,18 @@
 	}
 	for _, s := range view.Servers {
 		server := control.Server{
-			ID: fmt.Sprintf("%016x", uint64(s.Server)), Endpoint: endpoints[s.Server].addr, Breaker: s.Breaker,
+			ID: fmt.Sprintf("%016x", uint64(s.Server)), Endpoint: view.Listed[s.Server].Addr, Breaker: s.Breaker,
 			ReopenMs: s.ReopenIn.Milliseconds(), Score: s.Score, InFlight: s.InFlight, Success: s.Success, Judged: s.Judged,
 		}
 		if s.Started > 0 {
-			server.Started = i.started.Add(s.Started - clockOrigin)
+			server.Started = i.loop.Clock().Wall(s.Started)
 		}
 		a.Servers = append(a.Servers, server)
 	}
-	for class, n := range counts {
+	for class, n := range view.Counts {
 		by := map[string]int64{}
-		for kind, name := range outcomeNames {
-			by[name] = n[kind]
+		for kind := range core.Kinds {
+			by[kind.String()] = n[kind]
 		}
 		a.Counts[i.cfg.Site.Classes[class]] = by
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"otterstep/internal/core"
 	"otterstep/internal/operator"
 	"otterstep/policy"
 )
@@ -57,7 +58,7 @@
 
 func serve(ctx context.Context, cfg Config, op operator.File, listener net.Listener, reloads Reloads, log *slog.Logger) error {
 	defer listener.Close()
-	c := newClock()
+	c := core.NewClock()
 	set := cfg.Site.Settings
 	// A request in work takes a descriptor at each side and a second copy one more at
 	// the servers'; clients also have idle connections, and some that say nothing.
@@ -65,7 +66,7 @@
 	clients := newClients(cfg.Sockets - otherSockets - servers)
 	up := newUpstream(cfg.Site.ConnIdle, cfg.Site.ConnectTimeout, servers)
 	disco := newDiscovery(cfg.Discovery, set.ListAsked, cfg.Site.Zones, c, log)
-	l, err := newLoop(set, cfg.Seed, c, up, disco.watch)
+	l, err := core.New(core.Options{Settings: set, Seed: cfg.Seed, Clock: c, Watch: disco.watch, Drop: up.drop})
 	if err != nil {
 		return err
 	}
@@ -74,20 +75,11 @@
 		ready.Store(true)
 		log.Info("ready", "node", cfg.Name, "listen", listener.Addr().String())
 	}
-	disco.members = func(kind policy.ListKind, entries []policy.Entry, endpoints []string) {
-		// Waits until the list is in place, so that /up does not run ahead of it.
-		placed := make(chan struct{})
-		if l.post(func() { l.members(kind, entries, endpoints); close(placed) }) {
-			select {
-			case <-placed:
-			case <-l.stopped:
-			}
-		}
-	}
+	disco.members = l.Members // waits until it is in place, so that /up does not run ahead of it
 
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go l.run(background)
+	go l.Run(background)
 	go func() {
 		disco.hand(policy.ListCached, cfg.Known.Targets)
 		disco.run(background)
@@ -110,7 +102,7 @@
 	if op.Drain.TellUp {
 		up200 = func() bool { return ready.Load() && ctx.Err() == nil }
 	}
-	f := newFront(l, cfg.Site, clients, bodies, up200)
+	f := newFront(l, up, cfg.Site, clients, bodies, up200)
 	if path := op.Control.Socket; path != "" {
 		controlled := make(chan struct{})
 		go func() {
@@ -142,7 +134,7 @@
 		longest = max(longest, class.Deadline)
 	}
 	kill := time.Now().Add(longest + drainGrace)
-	l.post(func() { l.endBy = l.now + time.Until(kill) - drainSpare })
+	l.EndIn(time.Until(kill) - drainSpare)
 	told := time.Now()
 	for time.Until(kill) > drainLeave+drainBehind && (time.Since(told) < drainAccept || !clients.empty()) {
 		time.Sleep(leaveFor)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/core"
 	"otterstep/internal/operator"
 	"otterstep/internal/wire"
 	"otterstep/policy"
@@ -490,6 +491,28 @@
 	}
 }
 
+// testCore runs a core without a node round it.
+func testCore(t *testing.T) (*core.Loop, *upstream) {
+	t.Helper()
+	up := testUpstream(t, 8)
+	l, err := core.New(core.Options{Settings: siteOf(t, settings).Settings, Seed: 1, Clock: core.NewClock(), Watch: func() {}, Drop: up.drop})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.Run(t.Context())
+	return l, up
+}
+
+// idle gives a core that nobody runs.
+func idle(t *testing.T) *core.Loop {
+	t.Helper()
+	l, err := core.New(core.Options{Settings: siteOf(t, settings).Settings, Seed: 1, Clock: core.NewClock()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 // Guards rule 1 against the kill at the end of a drain: what comes late has its
 // answer before, however long its client would wait.
 func TestDrainCutsDeadlines(t *testing.T) {
@@ -497,21 +520,15 @@
 		c.Read(make([]byte, 1)) // silent until the node gives up
 		return false
 	})
-	l, err := newLoop(siteOf(t, settings).Settings, 1, newClock(), testUpstream(t, 8), func() {})
-	if err != nil {
-		t.Fatal(err)
-	}
-	go l.run(t.Context())
-	done, m := make(chan answer, 1), get()
-	l.post(func() {
-		l.members(policy.ListFull, []policy.Entry{{Server: 1, State: policy.Ready}}, []string{s.addr})
-		l.endBy = l.now + 100*time.Millisecond
-		m.deadline = l.now + time.Hour
-		l.submit(policy.Request{}, m, done)
-	})
+	l, up := testCore(t)
+	l.Members(policy.ListFull, []policy.Entry{{Server: 1, State: policy.Ready}}, []string{s.addr})
+	l.EndIn(100 * time.Millisecond)
+	done, m := make(chan core.Answer, 1), get()
+	m.upstream = up
+	l.Submit(core.Request{Name: "1", Deadline: l.Clock().Now() + time.Hour, Message: m, Answers: done})
 	select {
 	case a := <-done:
-		if a.kind == served {
+		if a.Kind == core.Served {
 			t.Error("served, though the server is silent")
 		}
 	case <-time.After(patience):
@@ -586,21 +603,6 @@
 	}
 }
 
-// Guards rule 4: a server that started shortly before the node did is cold too,
-// so its start must not fall to 0 or below, which means long ago.
-func TestStartBeforeTheProcessStaysKnown(t *testing.T) {
-	c := newClock()
-	if at := c.fromUnixMs(c.start.Add(-5 * time.Second).UnixMilli()); at <= 0 || at >= c.now() {
-		t.Errorf("a start 5 s before the process is %v at %v", at, c.now())
-	}
-	if at := c.fromUnixMs(0); at != 0 {
-		t.Errorf("long ago is %v, want 0", at)
-	}
-	if at := c.fromUnixMs(1); at != 0 {
-		t.Errorf("a start in 1970 is %v, want 0", at)
-	}
-}
-
 func TestKeyOfAPath(t *testing.T) {
 	if key("") != 0 || key("a/") != 0 {
 		t.Error("no last part, yet a key")
@@ -623,7 +625,7 @@
 // Guards against clients that go on using a draining node's connections until
 // they are cut: answers close them from SIGTERM on.
 func TestDrainingFrontClosesBehindAnswers(t *testing.T) {
-	f := newFront(&loop{clock: newClock()}, wire.Site{}, newClients(8), 0, func() bool { return true })
+	f := newFront(idle(t), nil, wire.Site{}, newClients(8), 0, func() bool { return true })
 	for _, draining := range []bool{false, true} {
 		f.draining.Store(draining)
 		w := httptest.NewRecorder()
--- a/internal/node/spoilt_test.go
+++ b/internal/node/spoilt_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/core"
 	"otterstep/policy"
 )
 
@@ -146,31 +147,21 @@
 // Guards against what grows with servers, ids and connections that come and go.
 func TestNothingIsKeptOfWhatIsGone(t *testing.T) {
 	s := newServer(t, says(ok("x"), true))
-	u := testUpstream(t, 8)
-	l, err := newLoop(siteOf(t, settings).Settings, 1, newClock(), u, func() {})
-	if err != nil {
-		t.Fatal(err)
-	}
-	go l.run(t.Context())
+	l, u := testCore(t)
 	for i := range 300 {
-		placed, done := make(chan struct{}), make(chan answer, 1)
 		id := serverID(fmt.Sprint("s", i))
-		l.post(func() {
-			l.members(policy.ListDelta, []policy.Entry{{Server: id, State: policy.Ready}}, []string{s.addr})
-			if i > 0 {
-				l.members(policy.ListDelta, []policy.Entry{{Server: serverID(fmt.Sprint("s", i-1))}}, []string{s.addr})
-			}
-			close(placed)
-		})
-		<-placed
-		m := get()
-		m.header = http.Header{"X-Correlation-Id": {fmt.Sprint("id", i)}}
-		l.post(func() {
-			m.deadline = l.now + time.Second
-			l.submit(policy.Request{Key: uint64(i + 1)}, m, done)
+		l.Members(policy.ListDelta, []policy.Entry{{Server: id, State: policy.Ready}}, []string{s.addr})
+		if i > 0 {
+			l.Members(policy.ListDelta, []policy.Entry{{Server: serverID(fmt.Sprint("s", i-1))}}, []string{s.addr})
+		}
+		m, done := get(), make(chan core.Answer, 1)
+		m.upstream = u
+		l.Submit(core.Request{
+			Request: policy.Request{Key: uint64(i + 1)}, Name: fmt.Sprint("id", i),
+			Deadline: l.Clock().Now() + time.Second, Message: m, Answers: done,
 		})
-		if a := <-done; a.kind != served {
-			t.Fatalf("request %d ended as %d", i, a.kind)
+		if a := <-done; a.Kind != core.Served {
+			t.Fatalf("request %d ended as %v", i, a.Kind)
 		}
 	}
 	waitFor(t, "end of all connections but the last server's", func() bool {
@@ -178,14 +169,15 @@
 		defer u.mu.Unlock()
 		return len(u.idle) <= 1 && u.open <= 1
 	})
+	var v core.View
 	waitFor(t, "end of all timers", func() bool {
-		count := make(chan int, 1)
-		l.post(func() { count <- len(l.timers) + len(l.requests) })
-		return <-count == 0
+		var err error
+		if v, err = l.Inspect(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		return v.Timers+v.Requests == 0
 	})
-	count := make(chan int, 1)
-	l.post(func() { count <- len(l.servers) })
-	if n := <-count; n != 1 {
-		t.Errorf("%d servers held, want 1", n)
+	if v.Members != 1 {
+		t.Errorf("%d servers held, want 1", v.Members)
 	}
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"otterstep/internal/core"
 	"otterstep/policy"
 )
 
@@ -43,7 +44,13 @@
 	host     string
 	header   http.Header
 	body     []byte
-	deadline time.Duration // on the node's clock: the client gives up
+	upstream *upstream
+}
+
+// Attempt implements core.Message.
+func (m *message) Attempt(ctx context.Context, to core.Server, wait time.Duration, begin func() bool) core.Reply {
+	p := m.upstream.roundTrip(ctx, to, m, wait, begin)
+	return core.Reply{Status: p.status, Body: p, Rejected: p.rejected}
 }
 
 // encode writes the whole request into memory, so that one write sends it and
@@ -63,15 +70,6 @@
 	return append(append(b, "\r\n"...), m.body...)
 }
 
-// backend is one life of a server. The pool goes by it, not by the address: a new
-// server may stand at the address of one that has gone, and must not be sent what
-// was left of the old one's connections.
-type backend struct {
-	id      policy.ServerID
-	addr    string
-	started time.Duration
-}
-
 // reply is what came of an attempt; the body only where it was served.
 type reply struct {
 	status      policy.Status
@@ -90,7 +88,7 @@
 	most           int // connections, idle ones included
 
 	mu   sync.Mutex
-	idle map[backend][]*conn // the latest used last
+	idle map[core.Server][]*conn // the latest used last
 	open int
 }
 
@@ -98,13 +96,13 @@
 // request that crosses a server's close ends as a reset that may have run.
 func newUpstream(connIdle, connectTimeout time.Duration, most int) *upstream {
 	return &upstream{
-		idleFor: connIdle * 3 / 4, connectTimeout: connectTimeout, most: most, idle: map[backend][]*conn{},
+		idleFor: connIdle * 3 / 4, connectTimeout: connectTimeout, most: most, idle: map[core.Server][]*conn{},
 	}
 }
 
 type conn struct {
 	*net.TCPConn
-	to        backend
+	to        core.Server
 	budget    io.LimitedReader // what an answer may still take of memory
 	in        *bufio.Reader
 	idleSince time.Time
@@ -115,7 +113,7 @@
 // roundTrip makes one attempt. begin is asked right before the first byte; if it
 // says no, nothing is written. The status follows from whether the last byte was
 // written: before that the request can't have run, after that it may have.
-func (u *upstream) roundTrip(ctx context.Context, to backend, m *message, wait time.Duration, begin func() bool) reply {
+func (u *upstream) roundTrip(ctx context.Context, to core.Server, m *message, wait time.Duration, begin func() bool) reply {
 	c, err := u.get(ctx, to)
 	switch {
 	case errors.Is(err, errNoSockets):
@@ -172,7 +170,7 @@
 
 // get gives an idle connection that has settled, is young and open still, or a
 // new one.
-func (u *upstream) get(ctx context.Context, to backend) (*conn, error) {
+func (u *upstream) get(ctx context.Context, to core.Server) (*conn, error) {
 	u.mu.Lock()
 	for {
 		list := u.idle[to]
@@ -199,7 +197,7 @@
 	u.mu.Unlock()
 
 	dialer := net.Dialer{Timeout: u.connectTimeout}
-	nc, err := dialer.DialContext(ctx, "tcp", to.addr)
+	nc, err := dialer.DialContext(ctx, "tcp", to.Addr)
 	if err != nil {
 		u.mu.Lock()
 		u.open--
@@ -247,7 +245,7 @@
 }
 
 // drop closes the idle connections to a server that is gone.
-func (u *upstream) drop(to backend) {
+func (u *upstream) drop(to core.Server) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, c := range u.idle[to] {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/core"
 	"otterstep/policy"
 )
 
@@ -86,7 +87,7 @@
 }
 
 // at is a server that has always stood at an address.
-func at(addr string) backend { return backend{addr: addr} }
+func at(addr string) core.Server { return core.Server{Addr: addr} }
 
 // settle lets idle connections come of age, so that the next request may use one.
 func (u *upstream) settle() {
