--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -56,8 +56,9 @@
 	// dirty tells that the book holds what the record lacks, because it could not be
 	// written: no command is taken until a rewrite succeeds.
 	dirty     error
-	compacted int64 // the record's size after the latest rewrite
-	lost      bool  // the record was damaged: what is desired may be lost
+	complaint string // what the log last said of the record, so that it says it once
+	compacted int64  // the record's size after the latest rewrite
+	lost      bool   // the record was damaged: what is desired may be lost
 
 	mu     sync.RWMutex // over what follows; never held during I/O
 	book   *book.Book
@@ -281,15 +282,24 @@
 	s := a.book.Snapshot()
 	a.mu.RUnlock()
 	if err := a.record.Rewrite(book.Entry{At: time.Now(), Snapshot: s}); err != nil {
-		a.log.Error("the record can't be written: no command is taken", "err", err)
+		a.complain(err)
 		return
 	}
-	if a.dirty != nil {
+	if a.complaint != "" {
+		a.complaint = ""
 		a.log.Info("the record is written again")
 	}
 	a.dirty, a.compacted = nil, a.record.Size()
 }
 
+// complain logs why the record can't be written, once. It needs commit.
+func (a *Agent) complain(err error) {
+	if a.complaint != err.Error() {
+		a.complaint = err.Error()
+		a.log.Error("the record can't be written: no command is taken", "err", err)
+	}
+}
+
 // write checks a change, puts it on the disk and applies it. done means that it was
 // made before.
 func (a *Agent) write(e book.Entry) (done bool, err error) {
@@ -315,7 +325,7 @@
 		err = a.record.Append(e)
 	}
 	if err != nil {
-		a.log.Error("the record can't be written", "err", err)
+		a.complain(err)
 		return false, protocol.Errorf(protocol.CodeRecord, "nothing is begun, as it can't be written down: %v", err)
 	}
 	a.apply(e)
--- a/internal/fleet/book/book.go
+++ b/internal/fleet/book/book.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"otterstep/internal/fleet/protocol"
@@ -18,8 +19,15 @@
 	// CommandsMost is how many ended commands are remembered. The id of one that was
 	// forgotten is refused as too old, so that it can't act twice.
 	CommandsMost = 2000
-	// stepsMost bounds an operation's steps; a resumed one adds to them.
-	stepsMost = 64
+	// InstancesMost bounds the instances that all ended commands name together, and so
+	// the operations that are remembered.
+	InstancesMost = 10_000
+	// stepsMost bounds an operation's steps, the latest ones; a resumed one adds to them.
+	stepsMost = 16
+	// wordsMost bounds a reason or a note, in bytes; more is cut off.
+	wordsMost = 200
+	// planMost bounds a command's plan, in bytes; a longer one is refused.
+	planMost = 1 << 10
 )
 
 // Entry is one change. Exactly one of its pointers is set.
@@ -259,6 +267,8 @@
 		return false, protocol.Errorf(protocol.CodeUsage, "id: %v", err)
 	case !slices.Contains(protocol.Kinds, r.Kind):
 		return false, protocol.Errorf(protocol.CodeUsage, "kind: unknown word %q", r.Kind)
+	case len(r.Plan) > planMost:
+		return false, protocol.Errorf(protocol.CodeUsage, "plan: %d bytes, at most %d are taken", len(r.Plan), planMost)
 	case len(r.Instances) == 0 || len(r.Instances) > protocol.InstancesMost:
 		return false, protocol.Errorf(protocol.CodeUsage, "instances: %d are named, 1 to %d can be", len(r.Instances), protocol.InstancesMost)
 	}
@@ -352,7 +362,7 @@
 	case e.Close != nil:
 		if c := b.commands[e.Close.ID]; c != nil {
 			b.release(c)
-			c.State, c.Reason = e.Close.State, e.Close.Reason
+			c.State, c.Reason = e.Close.State, clip(e.Close.Reason)
 			b.forget()
 		}
 	case e.Begin != nil:
@@ -362,7 +372,7 @@
 			if len(o.Steps) == stepsMost {
 				o.Steps = slices.Delete(o.Steps, 0, 1)
 			}
-			o.Steps = append(o.Steps, protocol.Step{Name: e.Step.Name, At: e.At, Note: e.Step.Note})
+			o.Steps = append(o.Steps, protocol.Step{Name: e.Step.Name, At: e.At, Note: clip(e.Step.Note)})
 		}
 	case e.Found != nil:
 		for _, name := range e.Found.Down {
@@ -372,7 +382,7 @@
 		}
 	case e.End != nil:
 		if o := b.operation(e.End.ID, e.End.Instance); o != nil {
-			o.State, o.Reason, o.Ended = e.End.State, e.End.Reason, e.At
+			o.State, o.Reason, o.Ended = e.End.State, clip(e.End.Reason), e.At
 			if i := b.instances[e.End.Instance]; i != nil && i.Operation == e.End.ID {
 				i.Operation = ""
 			}
@@ -380,6 +390,14 @@
 	}
 }
 
+// clip bounds what is said of a thing.
+func clip(words string) string {
+	if len(words) <= wordsMost {
+		return words
+	}
+	return strings.ToValidUTF8(words[:wordsMost], "") + "…"
+}
+
 func (b *Book) release(c *Command) {
 	for _, name := range c.Instances {
 		if b.holders[name] == c {
@@ -440,18 +458,22 @@
 	return slices.ContainsFunc(c.Operations, func(o protocol.Operation) bool { return o.State == protocol.Running })
 }
 
-// forget drops the oldest ended commands beyond CommandsMost.
+// forget drops the oldest ended commands beyond CommandsMost and InstancesMost.
 func (b *Book) forget() {
-	extra := len(b.order) - CommandsMost
-	if extra <= 0 {
+	commands, instances := len(b.order), 0
+	for _, c := range b.commands {
+		instances += len(c.Instances)
+	}
+	if commands <= CommandsMost && instances <= InstancesMost {
 		return
 	}
 	b.order = slices.DeleteFunc(b.order, func(id string) bool {
 		c := b.commands[id]
-		if extra <= 0 || c.State == protocol.Open || b.busy(c) {
+		if commands <= CommandsMost && instances <= InstancesMost || c.State == protocol.Open || b.busy(c) {
 			return false
 		}
-		extra--
+		commands--
+		instances -= len(c.Instances)
 		delete(b.commands, id)
 		if made, err := protocol.IDTime(id); err == nil && !made.Before(b.horizon) {
 			b.horizon = made.Add(time.Millisecond)
--- a/internal/fleet/book/book_test.go
+++ b/internal/fleet/book/book_test.go
@@ -7,10 +7,13 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"otterstep/internal/fleet/protocol"
+	"otterstep/internal/fleet/record"
 )
 
 var start = time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
@@ -298,15 +301,57 @@
 	}
 }
 
+// What is remembered fits the record's line whatever was commanded: the largest
+// commands, with the longest words.
+func TestMemoryIsBoundedInBytes(t *testing.T) {
+	var many []string
+	for n := range protocol.InstancesMost {
+		many = append(many, fmt.Sprintf("%s%04d", strings.Repeat("i", 59), n))
+	}
+	b := New(many)
+	now, long := start, strings.Repeat("€", 10_000)
+	for n := range 11 {
+		r := protocol.CommandRequest{ID: id(n), Kind: protocol.Reload, Plan: strings.Repeat("p", planMost)}
+		for _, name := range many {
+			i, _ := b.Instance(name)
+			r.Instances = append(r.Instances, protocol.Seen{Name: name, Generation: i.Generation})
+		}
+		open := Entry{At: now, Open: &Open{Request: r, Operator: "ada"}}
+		if _, err := b.Check(open); err != nil {
+			t.Fatal(err)
+		}
+		b.Apply(open)
+		for _, name := range many {
+			b.Apply(Entry{At: now, Begin: &Begin{ID: r.ID, Instance: name, Run: "abcdefghijklmnopqrstuvwxyz"}})
+			for range stepsMost + 2 {
+				b.Apply(Entry{At: now, Step: &Step{ID: r.ID, Instance: name, Name: "exited", Note: long}})
+			}
+			b.Apply(Entry{At: now, End: &End{ID: r.ID, Instance: name, State: protocol.Failed, Reason: long}})
+		}
+		b.Apply(Entry{At: now, Close: &Close{ID: r.ID, State: protocol.Closed, Reason: long}})
+	}
+	if n := len(b.Commands(100)); n != InstancesMost/protocol.InstancesMost {
+		t.Errorf("%d commands are remembered, want 10", n)
+	}
+	text, err := json.Marshal(Entry{Snapshot: b.Snapshot()})
+	if err != nil || len(text) > record.LineMost {
+		t.Errorf("%d bytes, a line holds %d; %v", len(text), record.LineMost, err)
+	}
+	if !utf8.ValidString(b.Commands(1)[0].Reason) {
+		t.Error("a reason was cut within a character")
+	}
+}
+
 func TestBadRequests(t *testing.T) {
 	many := make([]protocol.Seen, protocol.InstancesMost+1)
 	for name, r := range map[string]protocol.CommandRequest{
-		"no id":    {Kind: protocol.Start, Instances: []protocol.Seen{{Name: "a"}}},
-		"bad id":   {ID: "../../x", Kind: protocol.Start, Instances: []protocol.Seen{{Name: "a"}}},
-		"bad kind": {ID: id(1), Kind: "explode", Instances: []protocol.Seen{{Name: "a"}}},
-		"none":     {ID: id(1), Kind: protocol.Start},
-		"twice":    {ID: id(1), Kind: protocol.Start, Instances: []protocol.Seen{{Name: "a"}, {Name: "a"}}},
-		"too many": {ID: id(1), Kind: protocol.Start, Instances: many},
+		"no id":     {Kind: protocol.Start, Instances: []protocol.Seen{{Name: "a"}}},
+		"bad id":    {ID: "../../x", Kind: protocol.Start, Instances: []protocol.Seen{{Name: "a"}}},
+		"bad kind":  {ID: id(1), Kind: "explode", Instances: []protocol.Seen{{Name: "a"}}},
+		"none":      {ID: id(1), Kind: protocol.Start},
+		"twice":     {ID: id(1), Kind: protocol.Start, Instances: []protocol.Seen{{Name: "a"}, {Name: "a"}}},
+		"long plan": {ID: id(1), Kind: protocol.Start, Instances: []protocol.Seen{{Name: "a"}}, Plan: strings.Repeat("x", planMost+1)},
+		"too many":  {ID: id(1), Kind: protocol.Start, Instances: many},
 	} {
 		if _, err := New(names).Check(Entry{Open: &Open{Request: r}}); code(err) != protocol.CodeUsage {
 			t.Errorf("%s: %v", name, err)
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -25,7 +25,7 @@
 	// Version of the file's form.
 	Version = 1
 	// LineMost bounds an entry, in bytes.
-	LineMost = 8 << 20
+	LineMost = 64 << 20
 	// FileMost bounds what is read of a file; a record is compacted far below it.
 	FileMost = 256 << 20
 )
