Agents show instances that run and have ceased to serve

Need: list went by the last start, so that a node that hangs stood there as up, and a rollout counted it as available. An agent now asks /up of a serving instance every 5 s, and four times a second while it does not serve; such an instance is shown as running with a message and left alone, as it may hold requests.

--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -453,6 +453,25 @@
 	})
 }
 
+// An instance that runs and has ceased to serve is shown so, and is left alone.
+func TestInstanceThatCeasesToServe(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *world) {
+		l := w.start(nil)
+		defer l.end()
+		w.settled(l)
+		w.machine.Stuck("a", true)
+		time.Sleep(steadyEvery + time.Second)
+		if a := l.instances()[0]; a.State != protocol.StateRunning || !strings.Contains(a.Message, "/up has ceased") || w.machine.Starts("a") != 1 {
+			t.Errorf("%+v, started %d times", a, w.machine.Starts("a"))
+		}
+		w.machine.Stuck("a", false)
+		time.Sleep(time.Second)
+		if a := l.instances()[0]; a.State != protocol.StateUp || a.Message != "" {
+			t.Errorf("%+v", a)
+		}
+	})
+}
+
 // A tool that dies frees its lease within the stated time, not before.
 func TestDeadToolFreesItsLease(t *testing.T) {
 	inBubble(t, func(t *testing.T, w *world) {
--- a/internal/fleet/agent/unit.go
+++ b/internal/fleet/agent/unit.go
@@ -19,10 +19,12 @@
 const (
 	upEvery = 50 * time.Millisecond
 	upWait  = time.Second
-	// checkEvery is for processes that no operation waits for.
-	checkEvery = 250 * time.Millisecond
-	lookWait   = time.Second
-	trimAt     = time.Minute
+	// checkEvery is for processes that no operation waits for and that don't serve;
+	// those that serve are asked every steadyEvery, as one may hang.
+	checkEvery  = 250 * time.Millisecond
+	steadyEvery = 5 * time.Second
+	lookWait    = time.Second
+	trimAt      = time.Minute
 	// afterKill is how long the kernel may take over a SIGKILL.
 	afterKill = 10 * time.Second
 )
@@ -40,7 +42,7 @@
 	token   string           // of the process that runs, or ran last
 	tracker backoff.Tracker
 	retry   *time.Timer // next start after a crash
-	check   *time.Timer // next look at /up of a process that does not serve so far
+	check   *time.Timer // next look at /up
 
 	mu   sync.Mutex
 	view view
@@ -135,7 +137,7 @@
 				u.show(protocol.StateDown, "")
 			}
 		case <-u.check.C:
-			if u.process != nil && u.look().state == protocol.StateRunning {
+			if u.process != nil {
 				u.lookUp(ctx)
 			}
 		case <-trim.C:
@@ -162,11 +164,17 @@
 	}
 }
 
-// lookUp asks a running process's /up once, and again later while it does not serve.
+// lookUp asks a running process's /up, and again later. One that does not serve (any
+// more) is shown so, and left alone: it may hold requests.
 func (u *unit) lookUp(ctx context.Context) {
-	if u.agent.runner.Up(ctx, u.def) {
+	switch up, was := u.agent.runner.Up(ctx, u.def), u.look().state; {
+	case up:
 		u.show(protocol.StateUp, "")
-	} else {
+		u.check.Reset(steadyEvery)
+	case was == protocol.StateUp:
+		u.show(protocol.StateRunning, "/up has ceased to answer 200")
+		fallthrough
+	default:
 		u.check.Reset(checkEvery)
 	}
 }
@@ -218,6 +226,7 @@
 	for {
 		if u.agent.runner.Up(ctx, u.def) {
 			u.show(protocol.StateUp, "")
+			u.check.Reset(steadyEvery)
 			return nil
 		}
 		select {
