--- a/internal/fleet/agent/server.go
+++ b/internal/fleet/agent/server.go
@@ -123,10 +123,6 @@
 				reply(w, nil, protocol.Errorf(protocol.CodeForbidden, "%q has the role %q, this takes %q", c.name, c.role, role))
 				return
 			}
-			if r.Method == http.MethodGet {
-				// It has no body, and may wait longer than a body may take to come.
-				_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-			}
 			v, err := f(r, c)
 			reply(w, v, err)
 		})
--- a/internal/fleet/agent/server_test.go
+++ b/internal/fleet/agent/server_test.go
@@ -154,14 +154,8 @@
 
 // local starts an agent on a Unix socket.
 func local(t *testing.T) (*Agent, string) {
-	t.Helper()
-	return localOn(t, instances.NewMachine(), func(*Config) {})
-}
-
-func localOn(t *testing.T, machine *instances.Machine, change func(*Config)) (*Agent, string) {
 	t.Helper()
 	cfg := newWorld(t).cfg
-	change(&cfg)
 	dir, err := os.MkdirTemp("", "oa") // short: a socket's path is bounded
 	if err != nil {
 		t.Fatal(err)
@@ -171,7 +165,7 @@
 		t.Fatal(err)
 	}
 	cfg.Socket = filepath.Join(dir, "s")
-	a, err := New(cfg, Options{Runner: machine.Runner(), Version: "test"})
+	a, err := New(cfg, Options{Runner: instances.NewMachine().Runner(), Version: "test"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -232,33 +226,6 @@
 	}
 }
 
-// A call that waits for an operation does so for longer than a request may take to
-// come.
-func TestLongWaits(t *testing.T) {
-	t.Parallel()
-	machine := instances.NewMachine()
-	machine.Stuck("a", true)
-	_, socket := localOn(t, machine, func(c *Config) { c.Wait.Up.Duration = time.Minute })
-	c, err := client.New("m1", "unix:"+socket, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	id := protocol.NewID(time.Now(), 1)
-	if _, err := c.Open(t.Context(), protocol.CommandRequest{ID: id, Kind: protocol.Restart, Instances: []protocol.Seen{{Name: "a"}}}); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := c.Run(t.Context(), id, "a"); err != nil {
-		t.Fatal(err)
-	}
-	wait := 2*readWithin + time.Second
-	began := time.Now()
-	o, err := c.Wait(t.Context(), id, "a", wait)
-	if took := time.Since(began); err != nil || o.State != protocol.Running || took < wait {
-		t.Errorf("%s after %v, %v, want it running after %v", o.State, took, err, wait)
-	}
-}
-
 // post sends a raw request to a socket.
 func post(t *testing.T, socket, path string, header http.Header, body []byte) (int, protocol.Error) {
 	t.Helper()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -128,6 +128,11 @@
 }
 
 func startNodeWith(t *testing.T, d *registry, reloads Reloads, known ...target) (addr string, stop func() error) {
+	t.Helper()
+	return startNodeAs(t, d, operator.File{}, reloads, known...)
+}
+
+func startNodeAs(t *testing.T, d *registry, op operator.File, reloads Reloads, known ...target) (addr string, stop func() error) {
 	t.Helper()
 	text := settings
 	if d.asked {
@@ -144,7 +149,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- serve(ctx, cfg, operator.File{}, l, reloads, slog.New(slog.DiscardHandler)) }()
+	go func() { ended <- serve(ctx, cfg, op, l, reloads, slog.New(slog.DiscardHandler)) }()
 	stop = sync.OnceValue(func() error { cancel(); return <-ended })
 	t.Cleanup(func() {
 		http.DefaultClient.CloseIdleConnections() // the drain need not wait for them
@@ -513,6 +518,57 @@
 	return l
 }
 
+// Where the operator's file says so, /up tells of a drain while the node still accepts,
+// so that clients that follow it have left before connections end; elsewhere it stays
+// as the platform has it.
+func TestUpTellsOfADrainIfAsked(t *testing.T) {
+	for _, tell := range []bool{true, false} {
+		came, hold := make(chan struct{}), make(chan struct{})
+		s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+			close(came)
+			<-hold
+			io.WriteString(c, ok("x"))
+			return true
+		})
+		var op operator.File
+		op.Drain.TellUp = tell
+		addr, stop := startNodeAs(t, newRegistry(t, listed(s, "s1")), op, Reloads{})
+		answered := make(chan int, 1)
+		r := clientRequest(t, addr, "book", "2.9")
+		go func() {
+			resp, err := http.DefaultClient.Do(r)
+			if err != nil {
+				answered <- 0
+				return
+			}
+			resp.Body.Close()
+			answered <- resp.StatusCode
+		}()
+		<-came // a client is connected, so that the drain lasts
+		stopped := make(chan error, 1)
+		go func() { stopped <- stop() }()
+		told := false
+		for until := time.Now().Add(drainAccept); time.Now().Before(until) && !told; {
+			resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(httptest.NewRequest(http.MethodGet, "http://"+addr+"/up", nil))
+			if err != nil {
+				t.Fatalf("tell %v: the node has ceased to accept: %v", tell, err)
+			}
+			resp.Body.Close()
+			told = resp.StatusCode == http.StatusServiceUnavailable
+		}
+		if told != tell {
+			t.Errorf("tell %v: /up told of the drain: %v", tell, told)
+		}
+		close(hold)
+		if code := <-answered; code != http.StatusOK {
+			t.Errorf("tell %v: the request in work was answered %d", tell, code)
+		}
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // Guards rule 1 against the kill at the end of a drain: what comes late has its
 // answer before, however long its client would wait.
 func TestDrainCutsDeadlines(t *testing.T) {
