SIP front: messages, transactions, tokens, proxy machine, sockets and stand-in agents

Change: internal/sip with message, transaction, token and proxy as pure packages, and the front with UDP, TCP and TLS round them; internal/standin/sipua; core.Turn tells that an answer has started; classes can be parked, so that a ringing phone is no load. Not wired into the node yet. Result: a call over UDP and TCP goes through on loopback; tests of policy and core pass.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,10 +70,31 @@
 // change once it is handed over.
 type Message interface {
 	// Attempt makes one attempt and gives up when ctx ends, or after wait at the
-	// latest. begin is asked right before the first byte; if it says no, nothing may go
-	// out. The status tells whether the request may have run. It is called on a
+	// latest. turn.Begin is asked right before the first byte; if it says no, nothing may
+	// go out. The status tells whether the request may have run. It is called on a
 	// goroutine of its own, perhaps several times at once.
-	Attempt(ctx context.Context, to Server, wait time.Duration, begin func() bool) Reply
+	Attempt(ctx context.Context, to Server, wait time.Duration, turn Turn) Reply
+}
+
+// Turn is what a front needs of the loop for one attempt. Its methods may be called on
+// any goroutine.
+type Turn struct {
+	loop    *Loop
+	attempt *attempt
+}
+
+// Begin claims the right to write the request; false once the loop gave the attempt up.
+func (t Turn) Begin() bool { return t.attempt.begin() }
+
+// Started tells that the answer has begun, as that of a stream does: from then on the
+// request is tried nowhere else. Telling it again changes nothing.
+func (t Turn) Started() {
+	l, a := t.loop, t.attempt
+	l.post(func() {
+		if !a.over {
+			l.balancer.Started(l.now, a.request.id, a.index)
+		}
+	})
 }
 
 // Request is a client's request as a front hands it over.
@@ -498,7 +519,7 @@
 	}
 	m := r.message
 	go func() {
-		p := m.Attempt(ctx, to, wait, a.begin)
+		p := m.Attempt(ctx, to, wait, Turn{l, a})
 		at := l.clock.Now()
 		l.post(func() { l.finished(a, p, at) })
 	}()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -51,8 +51,8 @@
 	attempt func(ctx context.Context, to Server, wait time.Duration) (policy.Status, bool)
 }
 
-func (m *message) Attempt(ctx context.Context, to Server, wait time.Duration, begin func() bool) Reply {
-	if !begin() {
+func (m *message) Attempt(ctx context.Context, to Server, wait time.Duration, turn Turn) Reply {
+	if !turn.Begin() {
 		return Reply{Status: policy.Moot}
 	}
 	m.mu.Lock()
@@ -227,8 +227,8 @@
 
 type rejecting struct{}
 
-func (rejecting) Attempt(_ context.Context, _ Server, _ time.Duration, begin func() bool) Reply {
-	begin()
+func (rejecting) Attempt(_ context.Context, _ Server, _ time.Duration, turn Turn) Reply {
+	turn.Begin()
 	return Reply{Status: policy.Error, Rejected: true}
 }
 
@@ -250,9 +250,9 @@
 // late takes long to connect, whatever its context says.
 type late struct{ began chan bool }
 
-func (m *late) Attempt(_ context.Context, _ Server, _ time.Duration, begin func() bool) Reply {
+func (m *late) Attempt(_ context.Context, _ Server, _ time.Duration, turn Turn) Reply {
 	time.Sleep(3 * time.Second)
-	m.began <- begin()
+	m.began <- turn.Begin()
 	return Reply{Status: policy.Moot}
 }
 
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -48,8 +48,8 @@
 }
 
 // Attempt implements core.Message.
-func (m *message) Attempt(ctx context.Context, to core.Server, wait time.Duration, begin func() bool) core.Reply {
-	p := m.upstream.roundTrip(ctx, to, m, wait, begin)
+func (m *message) Attempt(ctx context.Context, to core.Server, wait time.Duration, turn core.Turn) core.Reply {
+	p := m.upstream.roundTrip(ctx, to, m, wait, turn.Begin)
 	return core.Reply{Status: p.status, Body: p, Rejected: p.rejected}
 }
 
--- /dev/null
+++ b/internal/sip/front_test.go
@@ -0,0 +1,202 @@
+package sip
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"otterstep/internal/core"
+	"otterstep/internal/sip/transaction"
+	"otterstep/internal/standin/sipua"
+	"otterstep/internal/tomlfile"
+	"otterstep/policy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// limit is far above anything that a test waits for in vain.
+const limit = 10 * time.Second
+
+// t1 makes retransmissions come soon.
+const t1 = 20 * time.Millisecond
+
+// desk is a front with its servers and one caller.
+type desk struct {
+	t       *testing.T
+	front   *Front
+	servers []*sipua.Server
+	caller  *sipua.Caller
+	stop    func()
+}
+
+type deskOptions struct {
+	servers   int
+	transport string // both sides
+	change    func(*Config)
+	script    sipua.Script
+	loss      func() sipua.Loss
+	key       string
+}
+
+// config makes a checked configuration from TOML.
+func config(t *testing.T, text string) Config {
+	t.Helper()
+	var file struct {
+		SIP Config `toml:"sip"`
+	}
+	f := tomlfile.Parse("operator.toml", []byte(text), &file)
+	file.SIP.Check(f)
+	if err := f.Err(); err != nil {
+		t.Fatal(err)
+	}
+	return file.SIP
+}
+
+func keyFile(t *testing.T) string {
+	path := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(path, []byte(strings.Repeat("k", 32)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func open(t *testing.T, o deskOptions) *desk {
+	t.Helper()
+	if o.servers == 0 {
+		o.servers = 1
+	}
+	if o.transport == "" {
+		o.transport = "udp"
+	}
+	if o.script == nil {
+		o.script = sipua.Answer
+	}
+	if o.key == "" {
+		o.key = keyFile(t)
+	}
+	loss := func() sipua.Loss {
+		if o.loss == nil {
+			return nil
+		}
+		return o.loss()
+	}
+	d := &desk{t: t}
+	text := fmt.Sprintf("[sip]\nudp = \"127.0.0.1:0\"\ntcp = \"127.0.0.1:0\"\ntoken_key = %q\nping = \"20ms\"\n[sip.upstream]\ntransport = %q\n", o.key, o.transport)
+	for n := range o.servers {
+		s, err := sipua.NewServer(sipua.Options{Transport: o.transport, T1: t1, Loss: loss()}, o.script)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			if d.servers[n] == s {
+				s.Close()
+			}
+		})
+		d.servers = append(d.servers, s)
+		text += fmt.Sprintf("[[sip.server]]\nname = \"s%d\"\naddress = %q\n", n+1, s.Addr())
+	}
+	c := config(t, text)
+	if o.change != nil {
+		o.change(&c)
+	}
+	d.start(c)
+	caller, err := sipua.NewCaller(sipua.Options{Proxy: d.front.Listen()[o.transport], Transport: o.transport, T1: t1, Loss: loss()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.caller = caller
+	t.Cleanup(caller.Close)
+	return d
+}
+
+// start runs a front in d until the test's end or d.stop.
+func (d *desk) start(c Config) {
+	d.t.Helper()
+	timing := transaction.Timing{T1: t1, T2: 8 * t1, T4: 10 * t1}
+	f, err := newFront(c, 1, core.NewClock(), timing, slog.New(slog.DiscardHandler))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.Run(ctx)
+	}()
+	d.stop = func() { cancel(); <-ended }
+	d.t.Cleanup(d.stop)
+	d.front = f
+	entries, addrs := c.entries()
+	f.Members(policy.ListFull, entries, addrs) // once more, and waits until it is in place
+}
+
+// view asks the front.
+func (d *desk) view() View {
+	d.t.Helper()
+	v, err := d.front.Inspect(d.t.Context())
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return v
+}
+
+// one checks that a transaction has exactly one final response, of a code.
+func one(t *testing.T, tx *sipua.Transaction, code int) {
+	t.Helper()
+	if got := tx.Final(limit); got != code {
+		t.Fatalf("%s ended with %d, want %d", tx.Method, got, code)
+	}
+	if f := tx.Finals(); len(f) != 1 {
+		t.Fatalf("%s has the finals %q, want one", tx.Method, f)
+	}
+}
+
+// The whole of a call, over each transport: ring, answer, re-INVITE, BYE from either side.
+func TestCall(t *testing.T) {
+	for _, transport := range []string{"udp", "tcp"} {
+		t.Run(transport, func(t *testing.T) {
+			d := open(t, deskOptions{transport: transport})
+			invite := d.caller.Send(sipua.Request{Method: "INVITE"})
+			one(t, invite, 200)
+			if !invite.Heard(180, limit) {
+				t.Error("no 180")
+			}
+			s := d.servers[0]
+			if !s.Await("ACK", invite.CallID, 1, limit) {
+				t.Error("the ACK did not arrive")
+			}
+			q := invite.Dialog()
+			q.Method = "INVITE"
+			one(t, d.caller.Send(q), 200)
+			q.Method, q.Seq, q.Branch = "BYE", q.Seq+1, ""
+			one(t, d.caller.Send(q), 200)
+			if n := s.Count("BYE", invite.CallID); n != 1 {
+				t.Errorf("%d BYEs", n)
+			}
+			s.Play(func(c *sipua.Call) {
+				c.Reply(200)
+				if c.Acked(limit) {
+					c.Bye()
+				}
+			})
+			back := d.caller.Send(sipua.Request{Method: "INVITE"})
+			one(t, back, 200)
+			if !d.caller.AwaitAsked("BYE", back.CallID, limit) || !s.Await("200", back.CallID, 1, limit) {
+				t.Error("a BYE from the server did not go through")
+			}
+			for _, method := range []string{"REGISTER", "OPTIONS", "SUBSCRIBE", "MESSAGE"} {
+				one(t, d.caller.Send(sipua.Request{Method: method}), 200)
+			}
+			if v := d.view(); v.Dialogs != 2 || v.Byes != 2 || v.Requests != 6 || v.Pool.Requests != 0 {
+				t.Errorf("%+v", v.View)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/sip/inspect.go
@@ -0,0 +1,44 @@
+package sip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"otterstep/internal/core"
+	"otterstep/internal/sip/proxy"
+)
+
+// View is the front's state for those who look on.
+type View struct {
+	proxy.View
+	Pool        core.View
+	Listen      map[string]string
+	Dropped     int64 // datagrams, as the front was too far behind
+	Connections int
+	TurnedAway  int64 // connections beyond the bound
+}
+
+// Inspect copies the state of the front and of its pool.
+func (f *Front) Inspect(ctx context.Context) (View, error) {
+	pool, err := f.loop.Inspect(ctx)
+	if err != nil {
+		return View{}, fmt.Errorf("the pool of SIP: %w", err)
+	}
+	v := View{Pool: pool, Listen: f.Listen(), Dropped: f.dropped.Load()}
+	v.Connections, v.TurnedAway = f.streams.count()
+	copied := make(chan struct{})
+	select {
+	case f.events <- func() { v.View = f.machine.Inspect(); close(copied) }:
+	case <-f.stopped:
+		return View{}, errors.New("SIP has stopped")
+	case <-ctx.Done():
+		return View{}, fmt.Errorf("SIP is busy: %w", ctx.Err())
+	}
+	select {
+	case <-copied:
+		return v, nil
+	case <-f.stopped:
+		return View{}, errors.New("SIP has stopped")
+	}
+}
--- /dev/null
+++ b/internal/sip/message/values.go
@@ -0,0 +1,224 @@
+package message
+
+import (
+	"errors"
+	"net/netip"
+	"strconv"
+	"strings"
+)
+
+// Via is one value of a Via field (RFC 3261 section 20.42).
+type Via struct {
+	Transport string // upper case: UDP, TCP, TLS ...
+	Host      string // of sent-by, without the brackets of an IPv6 address
+	Port      int    // of sent-by; 0 if not told
+	Branch    string
+	Rport     bool   // asked for (RFC 3581)
+	raw       string // the value without received and rport
+}
+
+// ParseVia reads one value.
+func ParseVia(value string) (Via, error) {
+	parts := split(value, ';')
+	protocol := strings.Split(parts[0], "/")
+	if len(protocol) != 3 || !strings.EqualFold(strings.Trim(protocol[0], " \t"), "SIP") || strings.Trim(protocol[1], " \t") != "2.0" {
+		return Via{}, bad("Via", "no SIP/2.0 in it")
+	}
+	words := strings.Fields(protocol[2])
+	if len(words) < 2 || !isToken(words[0]) {
+		return Via{}, bad("Via", "no transport and sent-by")
+	}
+	v := Via{Transport: strings.ToUpper(words[0])}
+	sentBy := strings.Join(words[1:], "") // spaces round the colon are allowed
+	host, port, err := hostPort(sentBy)
+	if err != nil {
+		return Via{}, bad("Via", "sent-by: %v", err)
+	}
+	v.Host, v.Port = host, port
+	raw := []string{"SIP/2.0/" + v.Transport + " " + sentBy}
+	for _, p := range parts[1:] {
+		name, value, _ := strings.Cut(p, "=")
+		name, value = strings.ToLower(strings.Trim(name, " \t")), strings.Trim(value, " \t")
+		switch {
+		case !isToken(name):
+			return Via{}, bad("Via", "a parameter without a name")
+		case name == "branch":
+			if v.Branch != "" || !isToken(value) {
+				return Via{}, bad("Via", "branch: %q", value)
+			}
+			v.Branch = value
+		case name == "rport":
+			v.Rport = true
+			continue
+		case name == "received":
+			continue
+		}
+		raw = append(raw, p)
+	}
+	v.raw = strings.Join(raw, ";")
+	return v, nil
+}
+
+// SentBy gives host and port as a key: the port is always told.
+func (v Via) SentBy() string {
+	return strings.ToLower(v.Host) + " " + strconv.Itoa(int(v.PortOr()))
+}
+
+// PortOr gives the port of sent-by, or the transport's own where it is not told.
+func (v Via) PortOr() uint16 {
+	switch {
+	case v.Port != 0:
+		return uint16(v.Port)
+	case v.Transport == "TLS":
+		return 5061
+	}
+	return 5060
+}
+
+// Received gives the value with where the request really came from (RFC 3261 section
+// 18.2.1, RFC 3581 section 4).
+func (v Via) Received(from netip.AddrPort) string {
+	value := v.raw
+	if sent, err := netip.ParseAddr(v.Host); err != nil || sent.Unmap() != from.Addr().Unmap() || v.Rport {
+		value += ";received=" + from.Addr().Unmap().String()
+	}
+	if v.Rport {
+		value += ";rport=" + strconv.Itoa(int(from.Port()))
+	}
+	return value
+}
+
+// hostPort reads host[:port], the host a name, an IPv4 address or an IPv6 one in
+// brackets.
+func hostPort(s string) (host string, port int, err error) {
+	rest := ""
+	if strings.HasPrefix(s, "[") {
+		end := strings.IndexByte(s, ']')
+		if end < 0 {
+			return "", 0, errors.New("an address without its closing bracket")
+		}
+		host, rest = s[1:end], s[end+1:]
+		if a, err := netip.ParseAddr(host); err != nil || !a.Is6() || a.Zone() != "" {
+			return "", 0, errors.New("no IPv6 address in brackets")
+		}
+	} else {
+		host = s
+		if i := strings.IndexByte(s, ':'); i >= 0 {
+			host, rest = s[:i], s[i:]
+		}
+		if host == "" || strings.Trim(host, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._") != "" {
+			return "", 0, errors.New("no host")
+		}
+	}
+	if rest == "" {
+		return host, 0, nil
+	}
+	if rest[0] != ':' {
+		return "", 0, errors.New("what follows the host is no port")
+	}
+	if port, err = digits(rest[1:], 65535); err != nil || port == 0 {
+		return "", 0, errors.New("no port")
+	}
+	return host, port, nil
+}
+
+// URI is a sip: or sips: URI as far as a proxy looks into it.
+type URI struct {
+	Scheme string // lower case
+	User   string // as written, "" for none; without a password
+	Host   string
+	Port   int
+	Params string // as written, from the first ";" on
+}
+
+// ParseURI reads one.
+func ParseURI(s string) (URI, error) {
+	scheme, rest, ok := strings.Cut(s, ":")
+	u := URI{Scheme: strings.ToLower(scheme)}
+	if !ok || u.Scheme != "sip" && u.Scheme != "sips" {
+		return URI{}, errors.New("no sip: or sips: URI")
+	}
+	if at := strings.LastIndexByte(rest, '@'); at >= 0 {
+		u.User, _, _ = strings.Cut(rest[:at], ":")
+		if u.User == "" {
+			return URI{}, errors.New("an empty user")
+		}
+		rest = rest[at+1:]
+	}
+	end := strings.IndexAny(rest, ";?")
+	if end < 0 {
+		end = len(rest)
+	} else if rest[end] == ';' {
+		u.Params, _, _ = strings.Cut(rest[end:], "?")
+	}
+	var err error
+	u.Host, u.Port, err = hostPort(rest[:end])
+	return u, err
+}
+
+// Param gives a URI's parameter; without a value it is "".
+func (u URI) Param(name string) (string, bool) { return param(u.Params, name) }
+
+// Address is a name-addr or addr-spec (RFC 3261 section 20.10).
+type Address struct {
+	URI    string
+	Params string // of the field, from the first ";" on
+}
+
+// ParseAddress reads one value of From, To, Contact, Route or Record-Route.
+func ParseAddress(value string) (Address, error) {
+	if strings.HasPrefix(value, "\"") { // a quoted name may hold anything
+		i := 1
+		for i < len(value) && value[i] != '"' {
+			if value[i] == '\\' {
+				i++
+			}
+			i++
+		}
+		if i >= len(value) {
+			return Address{}, errors.New("a quoted name without its end")
+		}
+		value = strings.TrimLeft(value[i+1:], " \t")
+		if !strings.HasPrefix(value, "<") {
+			return Address{}, errors.New("a name without an address in <>")
+		}
+	}
+	var a Address
+	if from := strings.IndexByte(value, '<'); from >= 0 {
+		end := strings.IndexByte(value[from:], '>')
+		if end < 0 {
+			return Address{}, errors.New("an address without its closing >")
+		}
+		a.URI, a.Params = value[from+1:from+end], strings.Trim(value[from+end+1:], " \t")
+	} else {
+		end := strings.IndexByte(value, ';')
+		if end < 0 {
+			end = len(value)
+		}
+		a.URI, a.Params = strings.TrimRight(value[:end], " \t"), value[end:]
+		if strings.ContainsAny(a.URI, "?, \t") {
+			return Address{}, errors.New("such an address must stand in <>")
+		}
+	}
+	if scheme, _, ok := strings.Cut(a.URI, ":"); !ok || !isToken(scheme) || strings.ContainsAny(a.URI, "<\"") {
+		return Address{}, errors.New("no address")
+	}
+	if a.Params != "" && a.Params[0] != ';' {
+		return Address{}, errors.New("what follows the address is no parameter")
+	}
+	return a, nil
+}
+
+// param finds a parameter in ";name=value;name".
+func param(params, name string) (string, bool) {
+	if params == "" {
+		return "", false
+	}
+	for _, p := range split(params, ';') {
+		n, value, _ := strings.Cut(p, "=")
+		if strings.EqualFold(strings.Trim(n, " \t"), name) {
+			return strings.Trim(value, " \t"), true
+		}
+	}
+	return "", false
+}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/dustin/go-humanize"
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
 )
@@ -199,3 +200,16 @@
 	}
 	return row[len(b)]
 }
+
+// Size is a number of bytes with its unit, as in "64KiB"; a number alone is bytes.
+type Size struct{ Bytes int }
+
+// UnmarshalText reads one.
+func (s *Size) UnmarshalText(text []byte) error {
+	n, err := humanize.ParseBytes(string(text))
+	if err != nil || n > 1<<40 {
+		return fmt.Errorf("%q is no size such as \"64KiB\" or \"1MiB\"", text)
+	}
+	s.Bytes = int(n)
+	return nil
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -466,7 +466,7 @@
 	if b.thin() && (o.Status == OK || o.Status == Full || o.Status == Timeout) {
 		b.press(now, r, o)
 	}
-	if a.sent < s.Started {
+	if a.sent < s.Started || r.stream && r.class.Parked && o.Ended && o.Status == OK { // Started did
 		return
 	}
 	latency := o.Latency.Seconds() / b.loneLatency(r)
--- a/policy/state.go
+++ b/policy/state.go
@@ -326,9 +326,14 @@
 func (b *Balancer) ended(r *request, a *attempt) {
 	a.out = false
 	r.out--
-	b.out--
+	b.unload(a)
+}
+
+// unload takes an attempt off its server's load; once is enough.
+func (b *Balancer) unload(a *attempt) {
 	if i := slices.Index(a.server.out, a); i >= 0 {
 		a.server.out = slices.Delete(a.server.out, i, i+1)
+		b.out--
 	}
 }
 
@@ -488,14 +493,22 @@
 	}
 }
 
-// Started is told when the answer's stream began: the attempt is the client's now.
+// Started is told when the answer's stream began: the attempt is the client's now. Of a
+// parked class the server has then done its work, and is judged by the time that took;
+// of the rest only a failure counts.
 func (b *Balancer) Started(now time.Duration, id RequestID, index int) {
 	r, a := b.find(id, index)
-	if r == nil {
+	if r == nil || r.stream {
 		return
 	}
 	r.stream = true
-	a.server.succeeded(now, a)
+	if r.class.Parked {
+		b.judge(now, r, a, Outcome{Status: OK, Latency: now - a.sent})
+		b.unload(a)
+		b.dispatch(now)
+	} else {
+		a.server.succeeded(now, a)
+	}
 	b.cancel(r, a)
 }
 
