Wire the SIP front into node, operator's file, inspect and the agent's check

Change: [sip] in the operator's file, servers of a model in discovery's list kept apart from the HTTP pool, drain, inspect and otterctl, an instance's sip key that the agent asks with OPTIONS. Result: tests of node, operator and fleet pass; with no [sip] nothing is started.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -59,6 +59,32 @@
 	Descriptors Descriptors                 `json:"descriptors"`
 	Memory      Memory                      `json:"memory"`
 	Counts      map[string]map[string]int64 `json:"counts"` // by class and outcome, since the start
+	SIP         *SIP                        `json:"sip,omitempty"`
+}
+
+// SIP is the front for calls, where it is on. Counts are since the start.
+type SIP struct {
+	Listen       map[string]string           `json:"listen"`       // by transport
+	Transactions map[string]int              `json:"transactions"` // callers', open and lingering, by state
+	Attempts     map[string]int              `json:"attempts"`     // transactions at servers, by state
+	Requests     int64                       `json:"requests"`     // outside dialogs
+	Inside       int64                       `json:"inside"`       // inside dialogs
+	Dialogs      int64                       `json:"dialogs"`      // begun
+	Byes         int64                       `json:"byes"`
+	Finals       map[int]int64               `json:"finals"`  // responses given, by code
+	Ends         map[string]int64            `json:"ends"`    // of attempts and of requests inside dialogs
+	Refused      map[string]int64            `json:"refused"` // by cause
+	Late         int64                       `json:"late"`    // 2xx after another final: ended with BYE
+	Stray        int64                       `json:"stray"`
+	Repeats      int64                       `json:"repeats"`
+	Malformed    int64                       `json:"malformed"`
+	Dropped      int64                       `json:"dropped"` // datagrams that the node was too far behind for
+	Sources      int                         `json:"sources"`
+	Connections  int                         `json:"connections"`
+	TurnedAway   int64                       `json:"turned_away"` // connections
+	Servers      []Server                    `json:"servers"`
+	Held         int                         `json:"held"`
+	Counts       map[string]map[string]int64 `json:"counts"`
 }
 
 // Clients are the clients' connections.
--- a/internal/fleet/agent/config.go
+++ b/internal/fleet/agent/config.go
@@ -11,6 +11,7 @@
 	"otterstep/internal/fleet/backoff"
 	"otterstep/internal/fleet/instance"
 	"otterstep/internal/fleet/protocol"
+	"otterstep/internal/sip"
 	"otterstep/internal/tomlfile"
 )
 
@@ -113,6 +114,11 @@
 		if i.Group != "" && !protocol.Name.MatchString(i.Group) {
 			f.Bad(key("group"), "%q is no name", i.Group)
 		}
+		if i.SIP != "" {
+			if err := sip.CheckTarget(i.SIP); err != nil {
+				f.Bad(key("sip"), "%v", err)
+			}
+		}
 		if len(i.Program) == 0 {
 			f.Bad(key("program"), "none given")
 		}
--- a/internal/fleet/ctl/print.go
+++ b/internal/fleet/ctl/print.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"otterstep/internal/cli"
+	"otterstep/internal/control"
 	"otterstep/internal/fleet/group"
 	"otterstep/internal/fleet/protocol"
 )
@@ -145,19 +147,56 @@
 		p.line("requests", fmt.Sprintf("open %d", v.Open), fmt.Sprintf("held %d", v.Held), fmt.Sprintf("attempts %d", v.Attempts))
 		p.line("clients", fmt.Sprintf("connections %d of %d", v.Clients.Connections, v.Clients.Most), fmt.Sprintf("idle %d", v.Clients.Idle), fmt.Sprintf("silent %d", v.Clients.Silent))
 		p.line("process", fmt.Sprintf("descriptors %d of %d", v.Descriptors.Open, v.Descriptors.Limit), fmt.Sprintf("heap %d KiB", v.Memory.Heap>>10), fmt.Sprintf("memory %d KiB of %d", v.Memory.Total>>10, v.Memory.Limit>>10), fmt.Sprintf("reloads %d %s", v.Reloads, v.ReloadError))
-		p.line("CLASS", "SERVED", "REFUSED", "FAILED", "OVERDUE", "LEFT")
-		for _, class := range slices.Sorted(maps.Keys(v.Counts)) {
-			c := v.Counts[class]
-			p.line(class, c["served"], c["refused"], c["failed"], c["overdue"], c["left"])
+		p.classes(v.Counts)
+		p.servers(v.Servers)
+		if v.SIP != nil {
+			p.calls(v.SIP)
 		}
-		p.line("SERVER", "BREAKER", "SCORE", "IN FLIGHT", "SUCCESS", "JUDGED")
-		for _, s := range v.Servers {
-			breaker := s.Breaker
-			if s.Breaker == "open" {
-				breaker += fmt.Sprintf(" for %v", (time.Duration(s.ReopenMs) * time.Millisecond).Round(100*time.Millisecond))
-			}
-			p.line(s.Endpoint, breaker, fmt.Sprintf("%.2f", s.Score), s.InFlight, fmt.Sprintf("%.2f", s.Success), s.Judged)
+	}
+}
+
+// calls shows an instance's SIP front.
+func (p *printer) calls(v *control.SIP) {
+	p.line("SIP", "listen "+counts(v.Listen), fmt.Sprintf("connections %d, turned away %d", v.Connections, v.TurnedAway))
+	p.line("SIP requests", fmt.Sprintf("outside dialogs %d", v.Requests), fmt.Sprintf("inside %d", v.Inside), fmt.Sprintf("sources %d", v.Sources))
+	p.line("SIP dialogs", fmt.Sprintf("begun %d", v.Dialogs), fmt.Sprintf("BYE %d", v.Byes), fmt.Sprintf("late answers ended %d", v.Late))
+	p.line("SIP transactions", counts(v.Transactions), "at servers "+counts(v.Attempts), fmt.Sprintf("held %d", v.Held))
+	p.line("SIP finals", counts(v.Finals))
+	p.line("SIP ends", counts(v.Ends))
+	p.line("SIP refused", counts(v.Refused))
+	p.line("SIP odd", fmt.Sprintf("repeats %d", v.Repeats), fmt.Sprintf("stray %d", v.Stray), fmt.Sprintf("malformed %d", v.Malformed), fmt.Sprintf("dropped %d", v.Dropped))
+	p.classes(v.Counts)
+	p.servers(v.Servers)
+}
+
+// counts writes a map in the order of its keys; "-" if it is empty.
+func counts[K cmp.Ordered, V any](all map[K]V) string {
+	var words []string
+	for _, k := range slices.Sorted(maps.Keys(all)) {
+		words = append(words, fmt.Sprintf("%v %v", k, all[k]))
+	}
+	if len(words) == 0 {
+		return "-"
+	}
+	return strings.Join(words, ", ")
+}
+
+func (p *printer) classes(all map[string]map[string]int64) {
+	p.line("CLASS", "SERVED", "REFUSED", "FAILED", "OVERDUE", "LEFT")
+	for _, class := range slices.Sorted(maps.Keys(all)) {
+		c := all[class]
+		p.line(class, c["served"], c["refused"], c["failed"], c["overdue"], c["left"])
+	}
+}
+
+func (p *printer) servers(all []control.Server) {
+	p.line("SERVER", "BREAKER", "SCORE", "IN FLIGHT", "SUCCESS", "JUDGED")
+	for _, s := range all {
+		breaker := s.Breaker
+		if s.Breaker == "open" {
+			breaker += fmt.Sprintf(" for %v", (time.Duration(s.ReopenMs) * time.Millisecond).Round(100*time.Millisecond))
 		}
+		p.line(s.Endpoint, breaker, fmt.Sprintf("%.2f", s.Score), s.InFlight, fmt.Sprintf("%.2f", s.Success), s.Judged)
 	}
 }
 
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -20,6 +20,7 @@
 	Control  string            `toml:"control"`  // the control socket that the operator's file names
 	Env      map[string]string `toml:"env"`
 	Listen   string            `toml:"listen"` // read from Config if empty
+	SIP      string            `toml:"sip"`    // as "udp:127.0.0.1:5060": it is up only if it answers OPTIONS there too
 }
 
 // Process is an instance's process; see Processes for real ones.
--- a/internal/fleet/instance/processes.go
+++ b/internal/fleet/instance/processes.go
@@ -14,6 +14,7 @@
 
 	"otterstep/internal/control"
 	"otterstep/internal/fleet/proc"
+	"otterstep/internal/sip"
 )
 
 // logMost bounds an instance's log: over it the file is copied to a second one,
@@ -100,7 +101,7 @@
 		return false
 	}
 	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return resp.StatusCode == http.StatusOK && (i.SIP == "" || sip.Check(ctx, i.SIP) == nil)
 }
 
 // Inspect implements Runner.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -41,6 +41,7 @@
 	AZ           string  `json:"az"`
 	PodGroup     int     `json:"pod_group"`
 	State        string  `json:"state"`
+	Model        string  `json:"model"`
 	CapacityHint float64 `json:"capacity_hint"`
 	BootMs       int64   `json:"boot_ms"`
 }
@@ -55,6 +56,10 @@
 	log   *slog.Logger
 	// members hands a list on; endpoints go with the entries.
 	members func(kind policy.ListKind, entries []policy.Entry, endpoints []string)
+	// apart gets those servers that are of model, and members the rest, where another
+	// front has servers of its own in the list.
+	apart func(kind policy.ListKind, entries []policy.Entry, endpoints []string)
+	model string
 	// first is called once the first list is in place, or the first call has
 	// failed and the known list has to do.
 	first func()
@@ -206,8 +211,27 @@
 	return nil
 }
 
-// hand turns discovery's lines into the module's entries.
+// hand gives discovery's lines to the pools that they belong to.
 func (d *discovery) hand(kind policy.ListKind, targets []target) {
+	if d.apart != nil {
+		var apart, rest []target
+		for _, t := range targets {
+			if t.Model == d.model {
+				apart = append(apart, t)
+			} else {
+				rest = append(rest, t)
+			}
+		}
+		d.give(kind, apart, d.apart)
+		if targets = rest; kind == policy.ListDelta && len(rest) == 0 && len(apart) > 0 && !d.asked {
+			return
+		}
+	}
+	d.give(kind, targets, d.members)
+}
+
+// give turns discovery's lines into the module's entries.
+func (d *discovery) give(kind policy.ListKind, targets []target, members func(policy.ListKind, []policy.Entry, []string)) {
 	entries, endpoints := make([]policy.Entry, len(targets)), make([]string, len(targets))
 	for i, t := range targets {
 		entries[i] = policy.Entry{
@@ -219,7 +243,7 @@
 			d.log.Info("server", "uid", t.UID, "endpoint", t.Endpoint, "state", t.State, "boot_ms", t.BootMs)
 		}
 	}
-	d.members(kind, entries, endpoints)
+	members(kind, entries, endpoints)
 }
 
 // state reads a word for a server's state. One that is new to us gets no new work.
--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -12,6 +12,8 @@
 	"otterstep/internal/buildinfo"
 	"otterstep/internal/control"
 	"otterstep/internal/core"
+	"otterstep/internal/sip"
+	"otterstep/internal/sip/proxy"
 )
 
 // inspector answers the control socket with what the node's parts know.
@@ -20,6 +22,7 @@
 	listen  string
 	loop    *core.Loop
 	clients *clients
+	sip     *sip.Front // nil where it is off
 	started time.Time
 
 	mu        sync.Mutex
@@ -27,8 +30,8 @@
 	reloadErr error
 }
 
-func newInspector(cfg Config, listen string, l *core.Loop, g *clients) *inspector {
-	return &inspector{cfg: cfg, listen: listen, loop: l, clients: g, started: l.Clock().Start()}
+func newInspector(cfg Config, listen string, l *core.Loop, g *clients, s *sip.Front) *inspector {
+	return &inspector{cfg: cfg, listen: listen, loop: l, clients: g, sip: s, started: l.Clock().Start()}
 }
 
 // reloaded notes how a reload ended.
@@ -65,32 +68,61 @@
 		Form: control.Version, Name: i.cfg.Name, Version: buildinfo.Version(), Started: i.started, State: state, Listen: i.listen,
 		Open: view.Open, Held: view.Held, Attempts: view.Out, Clients: i.clients.inspect(),
 		Descriptors: control.Descriptors{Open: descriptors(), Limit: i.cfg.Sockets},
-		Memory:      memory(i.cfg.MemoryMB), Counts: map[string]map[string]int64{},
-		Servers: make([]control.Server, 0, len(view.Servers)),
+		Memory:      memory(i.cfg.MemoryMB), Servers: serversOf(view, i.loop.Clock()),
+		Counts: countsOf(view, func(class int) string { return i.cfg.Site.Classes[class] }),
 	}
+	if i.sip != nil {
+		if a.SIP, err = i.inspectSIP(ctx); err != nil {
+			return control.Inspection{}, err
+		}
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if a.Reloads = i.reloads; i.reloadErr != nil {
+		a.ReloadError = i.reloadErr.Error()
+	}
+	return a, nil
+}
+
+func serversOf(view core.View, clock core.Clock) []control.Server {
+	all := make([]control.Server, 0, len(view.Servers))
 	for _, s := range view.Servers {
 		server := control.Server{
 			ID: fmt.Sprintf("%016x", uint64(s.Server)), Endpoint: view.Listed[s.Server].Addr, Breaker: s.Breaker,
 			ReopenMs: s.ReopenIn.Milliseconds(), Score: s.Score, InFlight: s.InFlight, Success: s.Success, Judged: s.Judged,
 		}
 		if s.Started > 0 {
-			server.Started = i.loop.Clock().Wall(s.Started)
+			server.Started = clock.Wall(s.Started)
 		}
-		a.Servers = append(a.Servers, server)
+		all = append(all, server)
 	}
+	return all
+}
+
+func countsOf(view core.View, name func(class int) string) map[string]map[string]int64 {
+	all := map[string]map[string]int64{}
 	for class, n := range view.Counts {
 		by := map[string]int64{}
 		for kind := range core.Kinds {
 			by[kind.String()] = n[kind]
 		}
-		a.Counts[i.cfg.Site.Classes[class]] = by
+		all[name(class)] = by
 	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if a.Reloads = i.reloads; i.reloadErr != nil {
-		a.ReloadError = i.reloadErr.Error()
+	return all
+}
+
+func (i *inspector) inspectSIP(ctx context.Context) (*control.SIP, error) {
+	v, err := i.sip.Inspect(ctx)
+	if err != nil {
+		return nil, err
 	}
-	return a, nil
+	return &control.SIP{
+		Listen: v.Listen, Transactions: v.View.Servers, Attempts: v.Clients, Requests: v.Counts.Requests, Inside: v.Inside,
+		Dialogs: v.Dialogs, Byes: v.Byes, Finals: v.Finals, Ends: v.Ends, Refused: v.Refused, Late: v.Late, Stray: v.Stray,
+		Repeats: v.Repeats, Malformed: v.Malformed, Dropped: v.Dropped, Sources: v.Sources,
+		Connections: v.Connections, TurnedAway: v.TurnedAway, Servers: serversOf(v.Pool, i.loop.Clock()), Held: v.Pool.Held,
+		Counts: countsOf(v.Pool, func(class int) string { return proxy.Class(class).String() }),
+	}, nil
 }
 
 // descriptors counts the process's own; -1 where the system does not tell.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"otterstep/internal/core"
 	"otterstep/internal/operator"
+	"otterstep/internal/sip"
 	"otterstep/policy"
 )
 
@@ -79,12 +80,27 @@
 
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	var calls *sip.Front
+	if op.SIP.On() {
+		if calls, err = sip.New(op.SIP, cfg.Seed, c, log); err != nil {
+			return err
+		}
+		if disco.model = op.SIP.Model; disco.model != "" {
+			disco.apart = calls.Members
+		}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			calls.Run(background)
+		}()
+		defer func() { stop(); <-ended }()
+	}
 	go l.Run(background)
 	go func() {
 		disco.hand(policy.ListCached, cfg.Known.Targets)
 		disco.run(background)
 	}()
-	watcher := newInspector(cfg, listener.Addr().String(), l, clients)
+	watcher := newInspector(cfg, listener.Addr().String(), l, clients, calls)
 	go reloads.follow(background, cfg, func(addr string) { disco.move(background, addr) }, watcher.reloaded, log)
 	go func() {
 		for every := time.Tick(time.Second); background.Err() == nil; <-every {
@@ -129,6 +145,13 @@
 	}
 
 	log.Info("draining")
+	callsDone := make(chan struct{})
+	go func() {
+		defer close(callsDone)
+		if calls != nil {
+			calls.Drain(background)
+		}
+	}()
 	longest := time.Duration(0)
 	for _, class := range set.Classes {
 		longest = max(longest, class.Deadline)
@@ -151,6 +174,7 @@
 		return fmt.Errorf("shut down: %w", err)
 	}
 	server.Close()
+	<-callsDone
 	log.Info("stopped")
 	return nil
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,6 +5,7 @@
 import (
 	"path/filepath"
 
+	"otterstep/internal/sip"
 	"otterstep/internal/tomlfile"
 )
 
@@ -22,6 +23,8 @@
 		// clients that follow it go elsewhere before connections end.
 		TellUp bool `toml:"tell_up"`
 	} `toml:"drain"`
+	// SIP is the front for calls, off without a listener.
+	SIP sip.Config `toml:"sip"`
 }
 
 // Load reads and checks the file at path; "" is the zero File.
@@ -42,6 +45,7 @@
 			f.Bad("control.socket", "%d bytes long, a socket's path holds at most %d", len(s), socketPathMost)
 		}
 	}
+	file.SIP.Check(f)
 	if err := f.Err(); err != nil {
 		return File{}, err
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -3,20 +3,23 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
+
+	"otterstep/internal/tomlfile"
 )
 
 // The file that is handed out switches nothing on.
 func TestHandedOutFileSwitchesNothingOn(t *testing.T) {
 	for _, path := range []string{"", "../../deploy/operator.toml"} {
-		if f, err := Load(path); err != nil || f != (File{}) {
+		if f, err := Load(path); err != nil || !reflect.DeepEqual(f, File{}) {
 			t.Errorf("%q: %+v, %v", path, f, err)
 		}
 	}
 }
 
-// Its commented lines are keys that there are.
+// Its commented lines are keys that there are; the files that those of SIP name are not.
 func TestCommentedKeysAreTaken(t *testing.T) {
 	text, err := os.ReadFile("../../deploy/operator.toml")
 	if err != nil {
@@ -29,12 +32,12 @@
 			on = append(on, rest)
 		}
 	}
-	path := filepath.Join(t.TempDir(), "operator.toml")
-	if err := os.WriteFile(path, []byte(strings.Join(on, "")), 0o600); err != nil {
+	var f File
+	if err := tomlfile.Parse("operator.toml", []byte(strings.Join(on, "")), &f).Err(); err != nil {
 		t.Fatal(err)
 	}
-	if f, err := Load(path); err != nil || f.Control.Socket == "" || !f.Drain.TellUp {
-		t.Errorf("%+v, %v", f, err)
+	if f.Control.Socket == "" || !f.Drain.TellUp || !f.SIP.On() || f.SIP.Limits.Message.Bytes != 16<<10 || f.SIP.Class.Other.Aim.Duration == 0 {
+		t.Errorf("%+v", f)
 	}
 }
 
