--- a/internal/sip/message/parse.go
+++ b/internal/sip/message/parse.go
@@ -105,15 +105,15 @@
 		return &Message{Code: n, Reason: reason}, nil
 	}
 	method, rest, ok := strings.Cut(line, " ")
-	uri, version, ok2 := cutLast(rest, " ")
-	if !ok || !ok2 || !isToken(method) {
+	if !ok || !isToken(method) || !strings.Contains(strings.ToUpper(rest), " SIP/") {
 		return nil, bad("", "no start line of SIP")
 	}
+	uri, version, _ := cutLast(rest, " ")
 	m := &Message{Method: method, URI: uri}
 	scheme, _, ok := strings.Cut(uri, ":")
 	switch {
 	case len(version) < 4 || !strings.EqualFold(version[:4], "SIP/"):
-		return nil, bad("", "no start line of SIP")
+		return m, bad("", "the start line does not end with its version")
 	case !strings.EqualFold(version, "SIP/2.0"):
 		return m, &Error{505, "", "version " + version}
 	case uri == "" || strings.ContainsAny(uri, " \t<>\""):
--- a/internal/sip/message/stream.go
+++ b/internal/sip/message/stream.go
@@ -60,6 +60,9 @@
 	if length > 0 {
 		m.Body = make([]byte, length)
 		if _, err := io.ReadFull(r.in, m.Body); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
 			return nil, fmt.Errorf("read a body: %w", err)
 		}
 	}
