SIP: hard cases over loopback; a server that took a call in is no load

Found by the tests: pings of closed servers hid failures of calls, so that no breaker opened; now only a trial is pinged. The module's bound in flight starts at one a server, so that a desk of one held all further calls while a slow one was answered: policy.Taken takes a call off the load at the 100, Started at the ring.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -86,13 +86,18 @@
 // Begin claims the right to write the request; false once the loop gave the attempt up.
 func (t Turn) Begin() bool { return t.attempt.begin() }
 
+// Taken tells that the server has the request and works on it; see policy.Balancer.Taken.
+func (t Turn) Taken() { t.tell((*policy.Balancer).Taken) }
+
 // Started tells that the answer has begun, as that of a stream does: from then on the
 // request is tried nowhere else. Telling it again changes nothing.
-func (t Turn) Started() {
+func (t Turn) Started() { t.tell((*policy.Balancer).Started) }
+
+func (t Turn) tell(event func(b *policy.Balancer, now time.Duration, id policy.RequestID, index int)) {
 	l, a := t.loop, t.attempt
 	l.post(func() {
 		if !a.over {
-			l.balancer.Started(l.now, a.request.id, a.index)
+			event(l.balancer, l.now, a.request.id, a.index)
 		}
 	})
 }
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -27,6 +27,9 @@
 // their senders repeat them; streams wait.
 const eventsMost = 4096
 
+// endWait is how long a node that ends waits for servers to heed its last CANCELs.
+const endWait = 500 * time.Millisecond
+
 // Front carries SIP. Make it with New, then Run it.
 type Front struct {
 	config    Config
@@ -262,24 +265,32 @@
 // their final responses, or for the configured time; the rest get theirs at its end.
 func (f *Front) Drain(ctx context.Context) {
 	f.post(f.machine.Drain)
-	ctx, cancel := context.WithTimeout(ctx, f.config.Drain.Duration)
+	f.wait(ctx, f.config.Drain.Duration, func(v View) bool { return v.Unanswered == 0 })
+	f.post(func() { f.machine.End(f.now()) })
+	// The servers' last words on what was cancelled are acknowledged.
+	f.wait(ctx, endWait, func(v View) bool { return v.Clients["calling"]+v.Clients["proceeding"] == 0 })
+}
+
+// wait looks at the front until ok holds, or for d at most.
+func (f *Front) wait(ctx context.Context, d time.Duration, ok func(View) bool) {
+	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
-	f.loop.EndIn(f.config.Drain.Duration)
-	for every := time.NewTicker(20 * time.Millisecond); ; {
-		view, err := f.loop.Inspect(ctx)
-		if err != nil || view.Requests == 0 {
-			every.Stop()
+	every := time.NewTicker(20 * time.Millisecond)
+	defer every.Stop()
+	for {
+		if v, err := f.Inspect(ctx); err != nil || ok(v) {
 			return
 		}
 		select {
 		case <-every.C:
 		case <-ctx.Done():
+			return
 		}
 	}
 }
 
-// ping has an OPTIONS sent while a server is out: an INVITE may not be its trial, and a
-// pool that gets nothing else would never learn that the server is back.
+// ping has an OPTIONS sent when a server that was out is due its trial: an INVITE may not
+// be that, and a pool that gets nothing else would never learn that the server is back.
 func (f *Front) ping(ctx context.Context) {
 	every := time.NewTicker(f.config.Ping.Duration)
 	defer every.Stop()
@@ -294,7 +305,7 @@
 			continue
 		}
 		for _, s := range view.Servers {
-			if s.Breaker != "closed" {
+			if s.Breaker == "half-open" || s.Breaker == "open" && s.ReopenIn <= 0 {
 				f.post(func() {
 					f.pings++
 					f.machine.Ping(f.now(), fmt.Sprintf("ping%x%x", f.pings, f.now()))
@@ -401,6 +412,13 @@
 	}
 }
 
+// Taken implements proxy.Host.
+func (f *Front) Taken(attempt uint64) {
+	if w, ok := f.waiting[attempt]; ok {
+		w.turn.Taken()
+	}
+}
+
 // Started implements proxy.Host.
 func (f *Front) Started(attempt uint64) {
 	if w, ok := f.waiting[attempt]; ok {
--- a/internal/sip/front_test.go
+++ b/internal/sip/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"log/slog"
 	"os"
@@ -13,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"otterstep/internal/core"
+	"otterstep/internal/sip/proxy"
 	"otterstep/internal/sip/transaction"
 	"otterstep/internal/standin/sipua"
 	"otterstep/internal/tomlfile"
@@ -41,7 +43,9 @@
 	transport string // both sides
 	change    func(*Config)
 	script    sipua.Script
-	loss      func() sipua.Loss
+	tls       *tls.Config // of the stand-ins
+	more      string      // of the configuration
+	loss      func(caller bool) sipua.Loss
 	key       string
 }
 
@@ -81,16 +85,16 @@
 	if o.key == "" {
 		o.key = keyFile(t)
 	}
-	loss := func() sipua.Loss {
+	loss := func(caller bool) sipua.Loss {
 		if o.loss == nil {
 			return nil
 		}
-		return o.loss()
+		return o.loss(caller)
 	}
 	d := &desk{t: t}
-	text := fmt.Sprintf("[sip]\nudp = \"127.0.0.1:0\"\ntcp = \"127.0.0.1:0\"\ntoken_key = %q\nping = \"20ms\"\n[sip.upstream]\ntransport = %q\n", o.key, o.transport)
+	text := fmt.Sprintf("[sip]\nudp = \"127.0.0.1:0\"\ntcp = \"127.0.0.1:0\"\ntoken_key = %q\nping = \"20ms\"\nupstream.transport = %q\n%s", o.key, o.transport, o.more)
 	for n := range o.servers {
-		s, err := sipua.NewServer(sipua.Options{Transport: o.transport, T1: t1, Loss: loss()}, o.script)
+		s, err := sipua.NewServer(sipua.Options{Transport: o.transport, TLS: o.tls, T1: t1, Loss: loss(false)}, o.script)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -107,7 +111,7 @@
 		o.change(&c)
 	}
 	d.start(c)
-	caller, err := sipua.NewCaller(sipua.Options{Proxy: d.front.Listen()[o.transport], Transport: o.transport, T1: t1, Loss: loss()})
+	caller, err := sipua.NewCaller(sipua.Options{Proxy: d.front.Listen()[o.transport], Transport: o.transport, TLS: o.tls, T1: t1, Loss: loss(true)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -194,9 +198,10 @@
 			for _, method := range []string{"REGISTER", "OPTIONS", "SUBSCRIBE", "MESSAGE"} {
 				one(t, d.caller.Send(sipua.Request{Method: method}), 200)
 			}
-			if v := d.view(); v.Dialogs != 2 || v.Byes != 2 || v.Requests != 6 || v.Pool.Requests != 0 {
-				t.Errorf("%+v", v.View)
-			}
+			d.await("counts", func(v View) bool {
+				return v.Dialogs == 2 && v.Byes == 2 && v.Requests == 6 && v.Inside == 3 && v.Ends["success"] == 9 && v.Stray == 0 &&
+					v.Pool.Requests == 0 && v.Pool.Counts[proxy.Calls][core.Served] == 2
+			})
 		})
 	}
 }
--- /dev/null
+++ b/internal/sip/hard_test.go
@@ -0,0 +1,766 @@
+package sip
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"otterstep/internal/fleet/pki"
+	"otterstep/internal/sip/proxy"
+	"otterstep/internal/standin/sipua"
+	"otterstep/policy"
+)
+
+// soon sets the time that an INVITE may take.
+func soon(d time.Duration) func(*Config) {
+	return func(c *Config) { c.Class.Invite.Deadline.Duration = d }
+}
+
+// invites gives how many INVITE transactions of a call all servers have seen.
+func (d *desk) invites(tx *sipua.Transaction) (n int) {
+	for _, s := range d.servers {
+		n += s.Count("INVITE", tx.CallID)
+	}
+	return n
+}
+
+// await waits until the front's state is as wanted.
+func (d *desk) await(what string, ok func(View) bool) {
+	d.t.Helper()
+	var v View
+	for end := time.Now().Add(limit); time.Now().Before(end); {
+		if v = d.view(); ok(v) {
+			return
+		}
+	}
+	d.t.Fatalf("%s: %+v", what, v)
+}
+
+// A server rings and falls silent: the caller has one final at the deadline and the
+// server a CANCEL. What it answers then is acknowledged and ended, not passed on.
+func TestRingsThenSilent(t *testing.T) {
+	for _, transport := range []string{"udp", "tcp"} {
+		for _, provisional := range []int{100, 180} {
+			t.Run(fmt.Sprint(transport, " ", provisional), func(t *testing.T) {
+				d := open(t, deskOptions{transport: transport, change: soon(300 * time.Millisecond), script: func(c *sipua.Call) {
+					c.Reply(provisional)
+					if c.Cancelled(limit) {
+						c.Reply(200)
+					}
+				}})
+				tx := d.caller.Send(sipua.Request{Method: "INVITE"})
+				began := time.Now()
+				one(t, tx, 408)
+				if took := time.Since(began); took > limit/2 {
+					t.Errorf("after %v", took)
+				}
+				s := d.servers[0]
+				for _, method := range []string{"CANCEL", "ACK", "BYE"} {
+					if !s.Await(method, tx.CallID, 1, limit) {
+						t.Errorf("no %s", method)
+					}
+				}
+				one(t, tx, 408)
+				v := d.view()
+				if end := map[int]string{100: "stalled", 180: "rang out"}[provisional]; v.Late != 1 || v.Pool.Counts[proxy.Calls][2] != 1 {
+					t.Errorf("%s: %+v, %v", end, v.View, v.Pool.Counts)
+				}
+			})
+		}
+	}
+}
+
+// A server that says nothing at all gets no CANCEL, as it has let nothing hear (RFC 3261
+// section 9.1), unless it does so later.
+func TestSilent(t *testing.T) {
+	wake := make(chan struct{})
+	d := open(t, deskOptions{change: soon(300 * time.Millisecond), script: func(c *sipua.Call) {
+		<-wake
+		c.Reply(180)
+		if c.Cancelled(limit) {
+			c.Reply(487)
+		}
+	}})
+	tx := d.caller.Send(sipua.Request{Method: "INVITE"})
+	one(t, tx, 408)
+	s := d.servers[0]
+	if n := s.Count("CANCEL", tx.CallID); n != 0 {
+		t.Errorf("%d CANCELs", n)
+	}
+	close(wake)
+	if !s.Await("CANCEL", tx.CallID, 1, limit) || !s.Await("ACK", tx.CallID, 1, limit) {
+		t.Error("it woke and was not cancelled")
+	}
+	one(t, tx, 408)
+	if n := d.invites(tx); n != 1 {
+		t.Errorf("%d INVITEs", n)
+	}
+}
+
+// CANCEL and the final cross in all orders: one final for each of them.
+func TestCancelCrossings(t *testing.T) {
+	ringing := func(c *sipua.Call) {
+		c.Reply(180)
+		if c.Cancelled(limit) {
+			c.Reply(487)
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		script sipua.Script
+		play   func(d *desk, tx *sipua.Transaction) (cancels []*sipua.Transaction)
+		want   int
+	}{
+		{"before 100", func(c *sipua.Call) { time.Sleep(2 * t1); ringing(c) }, func(_ *desk, tx *sipua.Transaction) []*sipua.Transaction {
+			return []*sipua.Transaction{tx.Cancel()}
+		}, 487},
+		{"after 180", ringing, func(_ *desk, tx *sipua.Transaction) []*sipua.Transaction {
+			tx.Heard(180, limit)
+			return []*sipua.Transaction{tx.Cancel()}
+		}, 487},
+		{"after 180, heeded by nobody", func(c *sipua.Call) { c.Reply(180) }, func(_ *desk, tx *sipua.Transaction) []*sipua.Transaction {
+			tx.Heard(180, limit)
+			return []*sipua.Transaction{tx.Cancel()}
+		}, 487},
+		{"a 200 answers it", func(c *sipua.Call) {
+			c.Reply(180)
+			if c.Cancelled(limit) {
+				c.Reply(200)
+			}
+		}, func(_ *desk, tx *sipua.Transaction) []*sipua.Transaction {
+			tx.Heard(180, limit)
+			return []*sipua.Transaction{tx.Cancel()}
+		}, 200},
+		{"a 503 answers it", func(c *sipua.Call) {
+			c.Reply(180)
+			if c.Cancelled(limit) {
+				c.Reply(503)
+			}
+		}, func(_ *desk, tx *sipua.Transaction) []*sipua.Transaction {
+			tx.Heard(180, limit)
+			return []*sipua.Transaction{tx.Cancel()}
+		}, 487},
+		{"after 200", sipua.Answer, func(_ *desk, tx *sipua.Transaction) []*sipua.Transaction {
+			tx.Final(limit)
+			return []*sipua.Transaction{tx.Cancel()}
+		}, 200},
+		{"twice", ringing, func(_ *desk, tx *sipua.Transaction) []*sipua.Transaction {
+			tx.Heard(180, limit)
+			first, second := tx.Cancel(), tx.Cancel()
+			first.Final(limit) // the same transaction: only the later one is on the caller's books
+			return []*sipua.Transaction{second}
+		}, 487},
+		{"on another connection", ringing, func(d *desk, tx *sipua.Transaction) []*sipua.Transaction {
+			tx.Heard(180, limit)
+			if err := d.caller.Reconnect(d.front.Listen()["tcp"]); err != nil {
+				d.t.Fatal(err)
+			}
+			return []*sipua.Transaction{tx.Cancel()}
+		}, 487},
+	} {
+		for _, transport := range []string{"udp", "tcp"} {
+			if transport == "udp" && c.name == "on another connection" || transport == "tcp" && c.name == "twice" {
+				continue
+			}
+			t.Run(c.name+" "+transport, func(t *testing.T) {
+				t.Parallel()
+				d := open(t, deskOptions{transport: transport, servers: 2, change: soon(limit), script: c.script})
+				tx := d.caller.Send(sipua.Request{Method: "INVITE"})
+				for _, cancel := range c.play(d, tx) {
+					if cancel.Final(limit) != 200 {
+						t.Errorf("CANCEL: %q", cancel.Finals())
+					}
+				}
+				one(t, tx, c.want)
+				if n := d.invites(tx); n > 1 {
+					t.Errorf("%d INVITEs", n)
+				}
+				d.await("something is held", func(v View) bool { return v.Pool.Requests == 0 && v.Pool.Open == 0 })
+			})
+		}
+	}
+	d := open(t, deskOptions{})
+	q := sipua.Request{Method: "CANCEL"}
+	one(t, d.caller.Send(q), 481) // of nothing
+	invite := d.caller.Send(sipua.Request{Method: "INVITE"})
+	one(t, invite, 200)
+	// Whoever guesses a branch from elsewhere cancels nothing.
+	stranger, err := sipua.NewCaller(sipua.Options{Proxy: d.front.Listen()["udp"], Transport: "udp", Addr: "127.0.0.9:0", T1: t1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	q = sipua.Request{Method: "CANCEL", CallID: invite.CallID, Branch: invite.Branch, Via: "SIP/2.0/UDP " + d.caller.Addr() + ";rport;branch=" + invite.Branch}
+	if code := stranger.Send(q).Final(limit); code != 481 {
+		t.Errorf("a stranger's CANCEL: %d", code)
+	}
+}
+
+// Whatever a link loses, doubles or swaps: the server sees an INVITE once, the caller
+// one final.
+func TestLossyLinks(t *testing.T) {
+	seeded := func(seed uint64) func(bool) sipua.Loss {
+		return func(bool) sipua.Loss {
+			var mu sync.Mutex
+			rng := rand.New(rand.NewPCG(seed, 2))
+			return func(bool, string) (int, bool) {
+				mu.Lock()
+				defer mu.Unlock()
+				return []int{0, 1, 1, 1, 2}[rng.IntN(5)], rng.IntN(4) == 0
+			}
+		}
+	}
+	links := map[string]func(caller bool) sipua.Loss{
+		"once":   func(bool) sipua.Loss { return sipua.LoseFirst(1) },
+		"double": func(bool) sipua.Loss { return func(bool, string) (int, bool) { return 2, false } },
+	}
+	// Thrice each way on one hop; on both, a request but INVITE would take longer than the
+	// 64 T1 that RFC 3261 has for it.
+	for _, lossy := range []bool{true, false} {
+		links[fmt.Sprint("thrice, at the caller ", lossy)] = func(caller bool) sipua.Loss {
+			if caller != lossy {
+				return nil
+			}
+			return sipua.LoseFirst(3)
+		}
+	}
+	for seed := range uint64(6) {
+		links[fmt.Sprint("seed ", seed)] = seeded(seed)
+	}
+	for name, link := range links {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := open(t, deskOptions{servers: 2, loss: link})
+			var all sync.WaitGroup
+			for n := range 12 {
+				all.Go(func() {
+					if n%4 == 3 {
+						if tx := d.caller.Send(sipua.Request{Method: "OPTIONS"}); tx.Final(limit) != 200 || len(tx.Finals()) != 1 {
+							t.Errorf("OPTIONS: %q", tx.Finals())
+						}
+						return
+					}
+					tx := d.caller.Send(sipua.Request{Method: "INVITE"})
+					if code := tx.Final(limit); code != 200 {
+						t.Errorf("%d", code)
+					}
+					q := tx.Dialog()
+					q.Method = "BYE"
+					if code := d.caller.Send(q).Final(limit); code != 200 {
+						t.Errorf("BYE: %d", code)
+					}
+					if n := d.invites(tx); n != 1 || len(tx.Finals()) != 1 {
+						t.Errorf("%d INVITEs, finals %q", n, tx.Finals())
+					}
+				})
+			}
+			all.Wait()
+			d.await("left behind", func(v View) bool { return v.Timers == 0 && len(v.Clients) == 0 && len(v.View.Servers) == 0 })
+		})
+	}
+}
+
+// A server fails in each way: the INVITE goes elsewhere only where it is known not to
+// have run; else the failure is the caller's.
+func TestFailuresOfServers(t *testing.T) {
+	for _, c := range []struct {
+		name, transport string
+		script          sipua.Script // nil: the server is closed
+		elsewhere       bool
+		final           int
+	}{
+		{"refuses", "udp", nil, true, 200},
+		{"refuses", "tcp", nil, true, 200},
+		{"503", "udp", sipua.Decline(503), true, 200},
+		{"503", "tcp", sipua.Decline(503), true, 200},
+		{"500", "udp", sipua.Decline(500), false, 500},
+		{"480", "udp", sipua.Decline(480), false, 480},
+		{"501", "udp", sipua.Decline(501), false, 501},
+		{"600", "udp", sipua.Decline(600), false, 600},
+		{"302", "udp", sipua.Decline(302), false, 302},
+		{"407", "udp", sipua.Decline(407), false, 407},
+		{"resets after the last byte", "tcp", func(c *sipua.Call) { c.Reset() }, false, 500},
+		{"100, then a reset", "tcp", func(c *sipua.Call) { c.Reply(100); c.Reset() }, false, 500},
+		{"180, then a reset", "tcp", func(c *sipua.Call) { c.Reply(180); c.Reset() }, false, 500},
+		{"silence", "udp", func(*sipua.Call) {}, false, 408},
+	} {
+		t.Run(c.name+" "+c.transport, func(t *testing.T) {
+			t.Parallel()
+			d := open(t, deskOptions{servers: 2, transport: c.transport, change: func(c *Config) {
+				soon(1500 * time.Millisecond)(c)
+				c.Class.Invite.Aim.Duration = 300 * time.Millisecond // retries wait for a part of it
+			}})
+			bad := d.servers[0]
+			if c.script == nil {
+				bad.Close()
+				d.servers[0] = d.servers[1]
+			} else {
+				bad.Play(c.script)
+			}
+			met, finals := 0, map[int]int{}
+			for range 20 {
+				tx := d.caller.Send(sipua.Request{Method: "INVITE"})
+				code := tx.Final(limit)
+				if len(tx.Finals()) != 1 {
+					t.Fatalf("the finals %q", tx.Finals())
+				}
+				finals[code]++
+				seen := d.servers[1].Count("INVITE", tx.CallID)
+				if c.script != nil && bad.Count("INVITE", tx.CallID) > 0 {
+					met++
+					if want := map[bool]int{true: 1}[c.elsewhere]; seen != want {
+						t.Errorf("at the other server %d times, want %d", seen, want)
+					}
+					if code != c.final {
+						t.Errorf("ended as %d, want %d", code, c.final)
+					}
+				} else if code != 200 {
+					t.Errorf("ended as %d with the good server", code)
+				}
+				if met > 1 {
+					break
+				}
+			}
+			if v := d.view(); c.script == nil && v.Ends["refused"] == 0 && v.Pool.Counts[proxy.Calls][0] != 20 || c.script != nil && met == 0 {
+				t.Errorf("the bad server was never met: %+v", v.View)
+			}
+		})
+	}
+}
+
+// half takes a part of the first message and then breaks.
+type half struct {
+	net.Conn
+	remote net.Addr
+}
+
+func (h half) RemoteAddr() net.Addr { return h.remote }
+
+func (h half) Write(b []byte) (int, error) { return len(b) / 2, net.ErrClosed }
+
+// A connection that breaks before the last byte has brought the server nothing: the
+// INVITE goes elsewhere.
+func TestBreaksBeforeTheLastByte(t *testing.T) {
+	d := open(t, deskOptions{servers: 2, transport: "tcp"})
+	to, err := net.ResolveTCPAddr("tcp", d.servers[0].Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	near, far := net.Pipe()
+	defer far.Close()
+	if _, err := d.front.streams.add(half{near, to}, proxy.TCP, true); err != nil {
+		t.Fatal(err)
+	}
+	for range 50 {
+		tx := d.caller.Send(sipua.Request{Method: "INVITE"})
+		one(t, tx, 200)
+		if v := d.view(); v.Ends["refused"] > 0 {
+			if n := d.invites(tx); n != 1 {
+				t.Errorf("%d INVITEs", n)
+			}
+			return
+		}
+	}
+	t.Error("the broken connection was never used")
+}
+
+// list sets the states of the desk's servers.
+func (d *desk) list(change func(entries []policy.Entry)) {
+	entries, addrs := d.front.config.entries()
+	change(entries)
+	d.front.Members(policy.ListDelta, entries, addrs)
+}
+
+// A draining server gets no new dialog, and all that belongs to its own; a server that
+// is gone has lost its dialogs; another instance with the key routes them, one without
+// it does not.
+func TestDialogsOutliveDrainsAndRestarts(t *testing.T) {
+	d := open(t, deskOptions{servers: 2})
+	var call *sipua.Transaction
+	for call == nil || d.servers[0].Count("INVITE", call.CallID) == 0 {
+		call = d.caller.Send(sipua.Request{Method: "INVITE"})
+		one(t, call, 200)
+	}
+	old := d.servers[0]
+	d.list(func(e []policy.Entry) { e[0].State = policy.Draining })
+	before := old.Count("INVITE", "")
+	for range 20 {
+		one(t, d.caller.Send(sipua.Request{Method: "INVITE"}), 200)
+	}
+	if n := old.Count("INVITE", ""); n != before {
+		t.Errorf("%d new calls at a draining server", n-before)
+	}
+	inside := func(method string, seq, want int) {
+		t.Helper()
+		q := call.Dialog()
+		q.Method, q.Seq = method, seq
+		tx := d.caller.Send(q)
+		one(t, tx, want)
+		if want == 200 && !old.Await(method, call.CallID, 1, limit) {
+			t.Errorf("%s did not reach its server", method)
+		}
+	}
+	inside("INVITE", 2, 200)
+	if n := old.Count("INVITE", call.CallID); n != 2 {
+		t.Errorf("%d INVITEs of the call at its server", n)
+	}
+
+	// The node restarts in mid-call, at its old address.
+	c := d.front.config
+	c.UDP = d.front.Listen()["udp"]
+	d.stop()
+	d.start(c)
+	inside("INFO", 3, 200)
+	d.list(func(e []policy.Entry) { e[0].State = policy.Gone })
+	inside("UPDATE", 4, 481)
+
+	// A token of another dialog, a changed one, none at all.
+	q := call.Dialog()
+	q.Method, q.Seq, q.CallID = "BYE", 5, "another"
+	one(t, d.caller.Send(q), 403)
+	q = call.Dialog()
+	q.Method, q.Seq, q.Routes = "BYE", 6, nil
+	one(t, d.caller.Send(q), 481)
+
+	d.stop()
+	if err := os.WriteFile(c.TokenKey, []byte(strings.Repeat("z", 32)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d.start(c)
+	inside("BYE", 7, 403)
+	if v := d.view(); v.Refused["forged token"] != 1 {
+		t.Errorf("%v", v.Refused)
+	}
+}
+
+// A server that came up lately gets a part of what a warm one does, in a burst of calls.
+func TestColdServerIsNotPushedOver(t *testing.T) {
+	d := open(t, deskOptions{servers: 3})
+	d.list(func(e []policy.Entry) { e[0].Started = d.front.now() })
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 25 {
+				if code := d.caller.Send(sipua.Request{Method: "INVITE"}).Final(limit); code != 200 {
+					t.Errorf("%d", code)
+				}
+			}
+		})
+	}
+	all.Wait()
+	cold := d.servers[0].Count("INVITE", "")
+	warm := d.servers[1].Count("INVITE", "") + d.servers[2].Count("INVITE", "")
+	// At a tenth of its capacity, and pushed over by twice what that bears: a warm
+	// server's part is 100 of 200.
+	if cold+warm != 200 || cold > 25 {
+		t.Errorf("the cold server had %d calls, the warm ones %d", cold, warm)
+	}
+}
+
+// With every breaker open a call is refused at once, told when to come back, and taken
+// again once a server has answered a ping.
+func TestAllBreakersOpen(t *testing.T) {
+	d := open(t, deskOptions{servers: 2, script: sipua.Decline(500)})
+	var refused *sipua.Transaction
+	for n := 0; refused == nil; n++ {
+		tx := d.caller.Send(sipua.Request{Method: "INVITE"})
+		began := time.Now()
+		switch code := tx.Final(limit); {
+		case code == 503:
+			refused = tx
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("refused after %v", took)
+			}
+		case code != 500 || n > 30:
+			t.Fatalf("%d, no breaker opens: %+v", code, d.view().Pool.Servers)
+		}
+	}
+	if v, err := strconv.Atoi(retryAfter(refused)); err != nil || v < 5 || v > 10 {
+		t.Errorf("Retry-After: %q", retryAfter(refused))
+	}
+	for _, s := range d.servers {
+		s.Play(sipua.Answer)
+	}
+	d.await("no breaker closed", func(v View) bool {
+		return v.Pool.Servers[0].Breaker == "closed" && v.Pool.Servers[1].Breaker == "closed"
+	})
+	one(t, d.caller.Send(sipua.Request{Method: "INVITE"}), 200)
+}
+
+func retryAfter(tx *sipua.Transaction) string {
+	for _, r := range tx.Responses() {
+		if h := r.GetHeader("Retry-After"); h != nil {
+			return h.Value()
+		}
+	}
+	return ""
+}
+
+// Phones behind a server ring together: each 180 goes through with its own tag, each
+// 2xx too, and a body and unknown fields as they came.
+func TestForks(t *testing.T) {
+	d := open(t, deskOptions{script: func(c *sipua.Call) {
+		c.ReplyAs(180, "one")
+		c.ReplyAs(183, "two", "X-Odd: a;b, c")
+		c.ReplyAs(180, "three")
+		c.ReplyAs(200, "two")
+		c.ReplyAs(200, "three")
+	}})
+	tx := d.caller.Send(sipua.Request{Method: "INVITE"})
+	s := d.servers[0]
+	if tx.Final(limit) != 200 || !s.Await("ACK", tx.CallID, 2, limit) {
+		t.Fatalf("%q", tx.Finals())
+	}
+	got := map[string]bool{}
+	for _, r := range tx.Responses() {
+		tag, _ := r.To().Params.Get("tag")
+		got[fmt.Sprint(r.StatusCode, " ", tag)] = true
+		if r.StatusCode == 183 && (r.GetHeader("X-Odd") == nil || r.GetHeader("X-Odd").Value() != "a;b, c") {
+			t.Errorf("183: %v", r)
+		}
+	}
+	for _, want := range []string{"180 one", "183 two", "180 three", "200 two", "200 three"} {
+		if !got[want] {
+			t.Errorf("no %s among %v", want, got)
+		}
+	}
+}
+
+// Over the bounds a request is answered 503 with a Retry-After that is spread out, and
+// calls in progress go on; nothing grows beyond the bounds.
+func TestFloods(t *testing.T) {
+	d := open(t, deskOptions{change: func(c *Config) {
+		c.Limits.Transactions, c.Limits.PerSource = 64, 20
+		c.Class.Invite.Deadline.Duration = limit
+	}})
+	call := d.caller.Send(sipua.Request{Method: "INVITE"})
+	one(t, call, 200)
+	d.servers[0].Play(func(c *sipua.Call) { c.Reply(100); c.Cancelled(limit) })
+	waits, sources := map[string]bool{}, 6
+	var lost []*sipua.Transaction
+	for n := range sources {
+		flooder, err := sipua.NewCaller(sipua.Options{Proxy: d.front.Listen()["udp"], Transport: "udp", Addr: fmt.Sprintf("127.0.0.%d:0", 10+n), T1: t1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer flooder.Close()
+		for range 30 {
+			tx := flooder.Send(sipua.Request{Method: "INVITE"})
+			if !tx.Heard(100, limit/100) && tx.Final(limit) == 503 {
+				waits[retryAfter(tx)] = true
+				lost = append(lost, tx)
+			}
+			v := d.view()
+			open := 0
+			for _, n := range v.View.Servers {
+				open += n
+			}
+			if open > 64 || v.Sources > sources+1 {
+				t.Fatalf("%d transactions, %d sources", open, v.Sources)
+			}
+		}
+	}
+	if v := d.view(); v.Refused["source"] == 0 || v.Refused["transactions"] == 0 || len(lost) == 0 {
+		t.Errorf("%v", v.Refused)
+	}
+	if len(waits) < 3 {
+		t.Errorf("all were told %v", waits)
+	}
+	q := call.Dialog()
+	q.Method = "BYE"
+	one(t, d.caller.Send(q), 200)
+}
+
+// Noise from the network harms nobody: broken requests get a 4xx where one can be sent,
+// and a call goes on.
+func TestNoise(t *testing.T) {
+	for _, transport := range []string{"udp", "tcp"} {
+		t.Run(transport, func(t *testing.T) {
+			d := open(t, deskOptions{transport: transport})
+			call := d.caller.Send(sipua.Request{Method: "INVITE"})
+			one(t, call, 200)
+			noisy, err := sipua.NewCaller(sipua.Options{Proxy: d.front.Listen()[transport], Transport: transport, T1: t1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer noisy.Close()
+			rng := rand.New(rand.NewPCG(7, 7))
+			for range 300 {
+				q := sipua.Request{Method: "INVITE"}
+				text := noisy.Write(&q)
+				switch rng.IntN(3) {
+				case 0:
+					text = text[:rng.IntN(len(text))]
+				case 1:
+					text[rng.IntN(len(text))] = byte(rng.IntN(256))
+				default:
+					i := rng.IntN(len(text))
+					text = append(text[:i:i], text[min(len(text), i+rng.IntN(40)):]...)
+				}
+				if noisy.Raw(text) != nil { // a stream that carried noise is closed
+					if err := noisy.Reconnect(d.front.Listen()[transport]); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			for want, q := range map[int]sipua.Request{
+				416: {Method: "INVITE", URI: "isbn:2983792873"},
+				420: {Method: "INVITE", Fields: []string{"Proxy-Require: nothingSupportsThis"}},
+				400: {Method: "INVITE", Fields: []string{"Content-Length: 0"}},
+				513: {Method: "INVITE", Body: strings.Repeat("x", 17<<10)},
+			} {
+				c, err := sipua.NewCaller(sipua.Options{Proxy: d.front.Listen()[transport], Transport: transport, T1: t1})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if code := c.Send(q).Final(limit); code != want {
+					t.Errorf("%d, want %d", code, want)
+				}
+				c.Close()
+			}
+			q := call.Dialog()
+			q.Method = "BYE"
+			one(t, d.caller.Send(q), 200)
+		})
+	}
+}
+
+// Connections over the bound are closed, and what was open goes on.
+func TestConnectionsAreBounded(t *testing.T) {
+	d := open(t, deskOptions{transport: "tcp", change: func(c *Config) { c.Limits.Connections = 4 }})
+	one(t, d.caller.Send(sipua.Request{Method: "INVITE"}), 200) // two: the caller's and the server's
+	for range 6 {
+		c, err := net.Dial("tcp", d.front.Listen()["tcp"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	d.await("connections are not bounded", func(v View) bool { return v.Connections == 4 && v.TurnedAway == 4 })
+	one(t, d.caller.Send(sipua.Request{Method: "INVITE"}), 200)
+}
+
+// The proxy's own OPTIONS, the agent's check of it, hops and loops.
+func TestOptionsHopsAndLoops(t *testing.T) {
+	d := open(t, deskOptions{})
+	for _, transport := range []string{"udp", "tcp"} {
+		if err := Check(t.Context(), transport+":"+d.front.Listen()[transport]); err != nil {
+			t.Error(err)
+		}
+	}
+	if n := d.servers[0].Count("OPTIONS", ""); n != 0 {
+		t.Errorf("%d of the proxy's own OPTIONS went on", n)
+	}
+	// Back at the proxy as it left: a loop. With another Request-URI: a spiral.
+	d.servers[0].Play(func(c *sipua.Call) {
+		c.Reply(100)
+		uri := c.Request.Recipient.String()
+		text := strings.Replace(c.Request.String(), uri, map[bool]string{true: "sip:other@pool.invalid", false: uri}[uri == "sip:spiral@pool.invalid"], 1)
+		if uri == "sip:other@pool.invalid" {
+			sipua.Answer(c)
+			return
+		}
+		via := fmt.Sprintf("Via: SIP/2.0/UDP %s;branch=z9hG4bKback%s\r\nVia:", d.servers[0].Addr(), c.Request.CallID().Value())
+		c.Reply(c.Relay(strings.Replace(text, "Via:", via, 1), d.front.Listen()["udp"], limit))
+	})
+	one(t, d.caller.Send(sipua.Request{Method: "INVITE", URI: "sip:loop@pool.invalid"}), 482)
+	one(t, d.caller.Send(sipua.Request{Method: "INVITE", URI: "sip:spiral@pool.invalid"}), 200)
+	if v := d.view(); v.Refused["loop"] != 1 {
+		t.Errorf("%v", v.Refused)
+	}
+	d.front.Drain(t.Context())
+	if err := Check(t.Context(), "udp:"+d.front.Listen()["udp"]); err == nil || !strings.Contains(err.Error(), "503") {
+		t.Errorf("a draining proxy: %v", err)
+	}
+	tx := d.caller.Send(sipua.Request{Method: "INVITE"})
+	one(t, tx, 503)
+	if retryAfter(tx) == "" {
+		t.Error("no Retry-After")
+	}
+}
+
+// At its end a node gives those whose calls still ring their one final.
+func TestDrainEndsWhatRings(t *testing.T) {
+	d := open(t, deskOptions{script: func(c *sipua.Call) { c.Reply(180); c.Cancelled(limit) }, change: func(c *Config) { c.Drain.Duration = 300 * time.Millisecond }})
+	tx := d.caller.Send(sipua.Request{Method: "INVITE"})
+	if !tx.Heard(180, limit) {
+		t.Fatal("it does not ring")
+	}
+	d.front.Drain(t.Context())
+	one(t, tx, 408)
+	if !d.servers[0].Await("CANCEL", tx.CallID, 1, limit) {
+		t.Error("no CANCEL")
+	}
+}
+
+// A call over TLS at both sides; without the right certificates there is none.
+func TestTLS(t *testing.T) {
+	dir := t.TempDir()
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	must(pki.Init(dir, "test", time.Now()))
+	must(pki.Issue(dir, pki.Request{Name: "node", Role: pki.Agent, Hosts: []string{"127.0.0.1"}, For: time.Hour}, time.Now()))
+	must(pki.Issue(dir, pki.Request{Name: "phone", Role: pki.Operator, For: time.Hour}, time.Now()))
+	file := func(name string) string { return filepath.Join(dir, name) }
+	cert, err := tls.LoadX509KeyPair(file("node.pem"), file("node.key"))
+	must(err)
+	ca, err := os.ReadFile(file("ca.pem"))
+	must(err)
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(ca)
+	phone, err := tls.LoadX509KeyPair(file("phone.pem"), file("phone.key"))
+	must(err)
+	own := &tls.Config{
+		Certificates: []tls.Certificate{cert}, RootCAs: roots, ServerName: "127.0.0.1",
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &phone, nil },
+	}
+	more := fmt.Sprintf("tls = \"127.0.0.1:0\"\ncert = %q\nkey = %q\nclient_ca = %q\nupstream.ca = %q\nupstream.name = \"127.0.0.1\"\n",
+		file("node.pem"), file("node.key"), file("ca.pem"), file("ca.pem"))
+	d := open(t, deskOptions{transport: "tls", tls: own, more: more})
+	tx := d.caller.Send(sipua.Request{Method: "INVITE"})
+	one(t, tx, 200)
+	q := tx.Dialog()
+	q.Method = "BYE"
+	one(t, d.caller.Send(q), 200)
+	if r := tx.Responses()[len(tx.Responses())-1]; !strings.Contains(r.String(), "transport=tls") {
+		t.Errorf("its dialog leads elsewhere: %v", r)
+	}
+	stranger, err := tls.Dial("tcp", d.front.Listen()["tls"], &tls.Config{RootCAs: roots, ServerName: "127.0.0.1"})
+	if err == nil { // TLS 1.3 tells a client of its refusal at the first read
+		_, err = stranger.Read(make([]byte, 1))
+		stranger.Close()
+	}
+	if err == nil {
+		t.Error("a caller without a certificate is served")
+	}
+}
+
+// Shares of the pool that servers of any kind see of the other fronts' requests are
+// settled by tokens: what is inside a dialog needs no list of methods.
+func TestStrictRoutersAndRFC2543(t *testing.T) {
+	d := open(t, deskOptions{})
+	call := d.caller.Send(sipua.Request{Method: "INVITE"})
+	one(t, call, 200)
+	q := call.Dialog()
+	route := strings.Trim(q.Routes[0], "<>")
+	q.Method, q.Routes, q.URI = "BYE", []string{"<" + q.URI + ">"}, route // as a strict router before us leaves it
+	one(t, d.caller.Send(q), 200)
+	if !d.servers[0].Await("BYE", call.CallID, 1, limit) {
+		t.Error("it did not arrive")
+	}
+	old := d.caller.Send(sipua.Request{Method: "OPTIONS", Via: "SIP/2.0/UDP " + d.caller.Addr()})
+	d.await("no OPTIONS of RFC 2543", func(v View) bool { return v.Finals[200] >= 3 && d.servers[0].Count("OPTIONS", old.CallID) == 1 })
+}
--- a/internal/sip/proxy/branch.go
+++ b/internal/sip/proxy/branch.go
@@ -31,6 +31,7 @@
 	heard    int    // highest provisional code
 	final    int
 	counted  bool // in the exchange's open
+	told     bool // its end is among the counts
 	given    bool // up: see giveUp
 	cancels  bool // CANCEL was sent
 	ack      []byte
@@ -229,7 +230,8 @@
 
 // finish tells the core of a branch's end, once.
 func (m *Machine) finish(b *branch, e End) {
-	if b.exchange != nil && b.counted {
+	if b.exchange != nil && !b.told {
+		b.told = true
 		m.counts.Ends[e.String()]++
 	}
 	if b.attempt != 0 {
@@ -332,6 +334,9 @@
 	if b.given {
 		m.sendCancel(now, b)
 	}
+	if r.Code == 100 && b.attempt != 0 {
+		m.o.Host.Taken(b.attempt)
+	}
 	if r.Code == 100 || x.final != 0 || x.method != message.Invite {
 		return
 	}
--- a/internal/sip/proxy/model_test.go
+++ b/internal/sip/proxy/model_test.go
@@ -272,6 +272,7 @@
 	})
 }
 
+func (w *world) Taken(uint64)   {}
 func (w *world) Started(uint64) {}
 
 // ---- servers
--- a/internal/sip/proxy/proxy.go
+++ b/internal/sip/proxy/proxy.go
@@ -9,8 +9,10 @@
 	"container/heap"
 	"fmt"
 	"hash/maphash"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"otterstep/internal/sip/message"
@@ -106,6 +108,8 @@
 	Leave(id uint64)
 	// Finish tells the core how an attempt ended, once for each Attempt that was taken.
 	Finish(attempt uint64, e End)
+	// Taken tells the core that an attempt's server has let hear of itself.
+	Taken(attempt uint64)
 	// Started tells the core that an attempt's server rings.
 	Started(attempt uint64)
 }
@@ -166,6 +170,15 @@
 // Drain makes the Machine refuse requests outside dialogs from now on.
 func (m *Machine) Drain() { m.draining = true }
 
+// End gives all requests that have none their final response, as if their time were up.
+func (m *Machine) End(now time.Duration) {
+	for _, id := range slices.Sorted(maps.Keys(m.exchanges)) {
+		if x := m.exchanges[id]; x != nil && x.final == 0 {
+			m.overdue(now, x)
+		}
+	}
+}
+
 // Due gives when Tick is to be called next; 0 for never.
 func (m *Machine) Due() time.Duration {
 	if len(m.timers) == 0 {
@@ -255,11 +268,12 @@
 // View is a Machine's state for those who look on.
 type View struct {
 	Counts
-	Servers  map[string]int // server transactions by state
-	Clients  map[string]int // client transactions by state
-	Sources  int            // with transactions outside dialogs
-	Timers   int
-	Draining bool
+	Servers    map[string]int // server transactions by state
+	Clients    map[string]int // client transactions by state
+	Unanswered int            // requests without a final response
+	Sources    int            // with transactions outside dialogs
+	Timers     int
+	Draining   bool
 }
 
 // Inspect copies the state, at a cost that grows with the open transactions.
@@ -268,10 +282,13 @@
 		Counts: m.counts, Servers: map[string]int{}, Clients: map[string]int{},
 		Sources: len(m.sources), Timers: len(m.timers), Draining: m.draining,
 	}
-	v.Finals, v.Ends, v.Refused = clone(m.counts.Finals), clone(m.counts.Ends), clone(m.counts.Refused)
+	v.Finals, v.Ends, v.Refused = maps.Clone(m.counts.Finals), maps.Clone(m.counts.Ends), maps.Clone(m.counts.Refused)
 	for _, x := range m.exchanges {
 		if !x.own {
 			v.Servers[x.server.State().String()]++
+			if x.final == 0 {
+				v.Unanswered++
+			}
 		}
 	}
 	for _, b := range m.branches {
@@ -279,11 +296,3 @@
 	}
 	return v
 }
-
-func clone[K comparable](from map[K]int64) map[K]int64 {
-	to := make(map[K]int64, len(from))
-	for k, v := range from {
-		to[k] = v
-	}
-	return to
-}
--- a/internal/sip/transaction/transaction_test.go
+++ b/internal/sip/transaction/transaction_test.go
@@ -71,7 +71,7 @@
 		}
 	}
 	m := server(true, false, 486)
-	if m.Ack(start+700*ms); m.Due() != start+5700*ms || m.State() != Confirmed || m.Request() != 0 {
+	if m.Ack(start + 700*ms); m.Due() != start+5700*ms || m.State() != Confirmed || m.Request() != 0 {
 		t.Errorf("I is due at %v", m.Due())
 	}
 	for _, codes := range [][]int{nil, {180}} {
--- a/internal/standin/sipua/caller.go
+++ b/internal/standin/sipua/caller.go
@@ -1,6 +1,7 @@
 package sipua
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net"
 	"slices"
@@ -15,6 +16,7 @@
 	*endpoint
 	bell
 	proxy    peer
+	tls      *tls.Config
 	t1       time.Duration
 	requests map[string]*Transaction // by branch and method
 	asked    map[string]int          // requests from the other side, by method and Call-ID
@@ -23,7 +25,8 @@
 // Options are what a user agent is made of.
 type Options struct {
 	Proxy     string // a Caller's
-	Transport string // "udp" or "tcp"
+	Transport string // "udp", "tcp" or "tls"
+	TLS       *tls.Config
 	Addr      string // to listen at; "" for any
 	T1        time.Duration
 	Loss      Loss
@@ -33,10 +36,12 @@
 func NewCaller(o Options) (*Caller, error) {
 	c := &Caller{bell: newBell(), t1: o.T1, requests: map[string]*Transaction{}, asked: map[string]int{}}
 	var err error
-	if c.endpoint, err = listen(o.Transport, o.Addr, o.Loss, c.take); err != nil {
+	if c.endpoint, err = listen(o, c.take); err != nil {
 		return nil, err
 	}
-	if o.Transport != "tcp" {
+	c.tls = o.TLS
+	defer c.run()
+	if o.Transport == "udp" {
 		addr, err := net.ResolveUDPAddr("udp", o.Proxy)
 		if err != nil {
 			return nil, err
@@ -49,15 +54,28 @@
 
 // Reconnect makes a new connection to the proxy and leaves the old one open.
 func (c *Caller) Reconnect(proxy string) error {
-	conn, err := net.Dial("tcp", proxy)
+	var conn net.Conn
+	var err error
+	if c.tls != nil {
+		conn, err = tls.Dial("tcp", proxy, c.tls)
+	} else {
+		conn, err = net.Dial("tcp", proxy)
+	}
 	if err != nil {
 		return err
 	}
-	c.proxy = peer{conn: conn}
+	c.ring(func() { c.proxy = peer{conn: conn} })
 	c.serve(conn)
 	return nil
 }
 
+// to gives where requests go now.
+func (c *Caller) to() peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.proxy
+}
+
 // Close ends it.
 func (c *Caller) Close() {
 	close(c.done)
@@ -77,10 +95,10 @@
 	from   string // of the request's fields
 	seq    int
 	uri    string
+	routes []string
 
 	// Under the caller's lock.
 	responses []*sip.Response
-	acked     map[string]bool
 }
 
 // Request describes a request; what is left out is made up.
@@ -110,7 +128,7 @@
 	set(&r.From, "\"A caller\" <sip:caller@"+c.addr()+">;tag="+name("a"))
 	set(&r.To, "<sip:desk@pool.invalid>")
 	set(&r.Branch, "z9hG4bK"+name("b"))
-	set(&r.Via, "SIP/2.0/"+c.transport()+" "+c.addr()+";branch="+r.Branch+";rport")
+	set(&r.Via, "SIP/2.0/"+c.name+" "+c.addr()+";branch="+r.Branch+";rport")
 	if r.Seq == 0 {
 		r.Seq = 1
 	}
@@ -134,11 +152,11 @@
 	text := c.Write(&r)
 	t := &Transaction{
 		caller: c, Method: r.Method, CallID: r.CallID, Branch: r.Branch, Text: text,
-		from: r.From, seq: r.Seq, uri: r.URI, acked: map[string]bool{},
+		from: r.From, seq: r.Seq, uri: r.URI, routes: r.Routes,
 	}
 	c.ring(func() { c.requests[t.Method+" "+t.Branch] = t })
-	c.send(c.proxy, text)
-	if c.proxy.conn == nil {
+	c.send(c.to(), text)
+	if c.packet != nil {
 		c.all.Go(func() { t.resend() })
 	}
 	return t
@@ -147,13 +165,16 @@
 // resend is timers A, B, E and F.
 func (t *Transaction) resend() {
 	c := t.caller
-	for wait, end := c.t1, time.Now().Add(64*c.t1); time.Now().Before(end); wait *= 2 {
+	for wait, end := c.t1, time.Now().Add(64*c.t1); time.Now().Before(end); {
 		if c.over(wait, func() bool {
 			return len(t.responses) > 0 && (t.Method == "INVITE" || t.final() != 0)
 		}) {
 			return
 		}
-		c.send(c.proxy, t.Text)
+		c.send(c.to(), t.Text)
+		if wait *= 2; t.Method != "INVITE" {
+			wait = min(wait, 8*c.t1) // T2
+		}
 	}
 }
 
@@ -230,8 +251,10 @@
 	if c := value(r, "Contact"); c != "" {
 		q.URI = strings.Trim(c, "<>")
 	}
-	q.Routes = values(r, "Record-Route")
-	slices.Reverse(q.Routes)
+	if q.Routes = t.routes; q.Routes == nil { // set by the dialog's first answer
+		q.Routes = values(r, "Record-Route")
+		slices.Reverse(q.Routes)
+	}
 	return q
 }
 
@@ -264,7 +287,7 @@
 			}
 		})
 		if t != nil && t.Method == "INVITE" && m.StatusCode >= 200 {
-			c.send(c.proxy, t.ack(m))
+			c.send(c.to(), t.ack(m))
 		}
 	}
 }
@@ -284,10 +307,10 @@
 // Raw sends bytes as they are.
 func (c *Caller) Raw(text []byte) error {
 	var err error
-	if c.proxy.conn != nil {
-		_, err = c.proxy.conn.Write(text)
+	if to := c.to(); to.conn != nil {
+		_, err = to.conn.Write(text)
 	} else {
-		_, err = c.packet.WriteTo(text, c.proxy.addr)
+		_, err = c.packet.WriteTo(text, to.addr)
 	}
 	return err
 }
--- a/internal/standin/sipua/server.go
+++ b/internal/standin/sipua/server.go
@@ -37,15 +37,18 @@
 	calls  map[string]*Call // INVITE transactions by branch
 	counts map[string]int   // requests by method and Call-ID, each transaction once
 	seen   map[string]bool
+	finals map[string]int // of relayed requests, by Call-ID
 }
 
 // NewServer makes a server; Close ends it.
 func NewServer(o Options, script Script) (*Server, error) {
 	s := &Server{
-		bell: newBell(), t1: o.T1, script: script, calls: map[string]*Call{}, counts: map[string]int{}, seen: map[string]bool{},
+		bell: newBell(), t1: o.T1, script: script, calls: map[string]*Call{}, counts: map[string]int{}, seen: map[string]bool{}, finals: map[string]int{},
 	}
 	var err error
-	s.endpoint, err = listen(o.Transport, o.Addr, o.Loss, s.take)
+	if s.endpoint, err = listen(o, s.take); err == nil {
+		s.run()
+	}
 	return s, err
 }
 
@@ -150,7 +153,7 @@
 		routes += "Route: " + r + "\r\n"
 	}
 	text := fmt.Sprintf("BYE %s SIP/2.0\r\nVia: SIP/2.0/%s %s;branch=z9hG4bK%s;rport\r\n%sMax-Forwards: 70\r\nFrom: %s;tag=%s\r\nTo: %s\r\nCall-ID: %s\r\nCSeq: 7 BYE\r\nContent-Length: 0\r\n\r\n",
-		strings.Trim(value(q, "Contact"), "<>"), c.server.transport(), c.server.addr(), name("s"), routes,
+		strings.Trim(value(q, "Contact"), "<>"), c.server.name, c.server.addr(), name("s"), routes,
 		value(q, "To"), c.tag, value(q, "From"), q.CallID().Value())
 	c.server.send(c.from, []byte(text))
 }
@@ -159,7 +162,13 @@
 func (s *Server) take(from peer, m sip.Message) {
 	q, ok := m.(*sip.Request)
 	if !ok {
-		s.ring(func() { s.counts[fmt.Sprint(m.(*sip.Response).StatusCode, " ", m.CallID().Value())]++ })
+		r := m.(*sip.Response)
+		s.ring(func() {
+			s.counts[fmt.Sprint(r.StatusCode, " ", r.CallID().Value())]++
+			if r.StatusCode >= 200 {
+				s.finals[r.CallID().Value()] = r.StatusCode
+			}
+		})
 		return
 	}
 	branch, _ := q.Via().Params.Get("branch")
@@ -236,3 +245,15 @@
 	b.WriteString("Content-Length: 0\r\n\r\n")
 	return []byte(b.String())
 }
+
+// Relay sends a request that a script made up, as from this server, and waits for its
+// final response's code.
+func (c *Call) Relay(text, to string, limit time.Duration) (code int) {
+	addr, err := net.ResolveUDPAddr("udp", to)
+	if err != nil {
+		panic(err)
+	}
+	c.server.send(peer{addr: addr}, []byte(text))
+	c.server.await(limit, func() bool { code = c.server.finals[c.Request.CallID().Value()]; return code != 0 })
+	return code
+}
--- a/internal/standin/sipua/sipua.go
+++ b/internal/standin/sipua/sipua.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -52,6 +53,7 @@
 	packet   net.PacketConn
 	listener net.Listener
 	loss     Loss
+	name     string // of the transport, as Via has it
 	handle   func(from peer, m sip.Message)
 
 	guard sync.Mutex
@@ -68,36 +70,40 @@
 	out  bool
 }
 
-// listen opens an endpoint on a port of the system's choice, or at addr if that is given.
-func listen(transport, addr string, loss Loss, handle func(peer, sip.Message)) (*endpoint, error) {
+// listen opens an endpoint on a port of the system's choice, or at o.Addr if that is
+// given; run takes what comes.
+func listen(o Options, handle func(peer, sip.Message)) (*endpoint, error) {
+	addr := o.Addr
 	if addr == "" {
 		addr = "127.0.0.1:0"
 	}
-	e := &endpoint{loss: loss, handle: handle, conns: map[net.Conn]bool{}}
+	e := &endpoint{loss: o.Loss, handle: handle, conns: map[net.Conn]bool{}, name: strings.ToUpper(o.Transport)}
 	var err error
-	if transport == "tcp" {
+	if o.Transport != "udp" {
 		if e.listener, err = net.Listen("tcp", addr); err == nil {
-			e.all.Go(e.accept)
+			if o.TLS != nil {
+				e.listener = tls.NewListener(e.listener, o.TLS)
+			}
 		}
-	} else if e.packet, err = net.ListenPacket("udp", addr); err == nil {
-		e.all.Go(e.receive)
+	} else {
+		e.packet, err = net.ListenPacket("udp", addr)
 	}
 	return e, err
 }
 
-func (e *endpoint) addr() string {
+func (e *endpoint) run() {
 	if e.listener != nil {
-		return e.listener.Addr().String()
+		e.all.Go(e.accept)
+	} else {
+		e.all.Go(e.receive)
 	}
-	return e.packet.LocalAddr().String()
 }
 
-// transport gives its name as Via has it.
-func (e *endpoint) transport() string {
+func (e *endpoint) addr() string {
 	if e.listener != nil {
-		return "TCP"
+		return e.listener.Addr().String()
 	}
-	return "UDP"
+	return e.packet.LocalAddr().String()
 }
 
 // close ends it and waits for its goroutines.
--- a/policy/api.go
+++ b/policy/api.go
@@ -47,7 +47,7 @@
 	Scope      Scope         // for Keyed
 	Window     time.Duration // for Keyed: how long repeats are dropped, from the first send
 	Stream     bool          // the answer is a stream; see Balancer.Started
-	Parked     bool          // once its answer has started it takes nothing of the server, as a phone that rings
+	Parked     bool          // once the server has taken it in it is no load, as a phone that rings; see Balancer.Taken
 }
 
 // Tenant is a party with a share in the fleet.
--- a/policy/state.go
+++ b/policy/state.go
@@ -493,6 +493,15 @@
 	}
 }
 
+// Taken is told when the server lets know that it has a request of a parked class and
+// works on it: from then on it is no load. Its silence still counts.
+func (b *Balancer) Taken(now time.Duration, id RequestID, index int) {
+	if r, a := b.find(id, index); r != nil && r.class.Parked {
+		b.unload(a)
+		b.dispatch(now)
+	}
+}
+
 // Started is told when the answer's stream began: the attempt is the client's now. Of a
 // parked class the server has then done its work, and is judged by the time that took;
 // of the rest only a failure counts.
