--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -296,3 +296,51 @@
 		l.Members(policy.ListFull, nil, nil) // must return
 	})
 }
+
+// What a server lets know early reaches the module, until the attempt is over.
+func TestTurnsTellTheModule(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		set := settings()
+		set.Classes[2].Parked = true
+		l, err := New(Options{Settings: set, Clock: NewClock(), Watch: func() {}, Drop: func(Server) {}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go l.Run(ctx)
+		l.Members(policy.ListFull, []policy.Entry{{Server: 1, State: policy.Ready}}, []string{"a"})
+		for n := range 3 {
+			m := &ringing{taken: make(chan Turn, 1), answer: make(chan struct{})}
+			answers := make(chan Answer, 1)
+			l.Submit(Request{Request: policy.Request{Class: 2}, Name: fmt.Sprint(n), Deadline: l.Clock().Now() + time.Second, Message: m, Answers: answers})
+			turn := <-m.taken // the next one is sent only because this one is no load
+			turn.Taken()
+			turn.Started()
+			if n < 2 {
+				defer close(m.answer)
+				continue
+			}
+			close(m.answer)
+			<-answers
+			turn.Started() // over: it says nothing any more
+		}
+		v, err := l.Inspect(t.Context())
+		if err != nil || v.Servers[0].InFlight != 0 || v.Servers[0].Judged != 3 || v.Out != 0 || v.Requests != 2 {
+			t.Errorf("%+v, %v", v, err)
+		}
+	})
+}
+
+// ringing lets the test ring and answer.
+type ringing struct {
+	taken  chan Turn
+	answer chan struct{}
+}
+
+func (m *ringing) Attempt(_ context.Context, _ Server, _ time.Duration, turn Turn) Reply {
+	turn.Begin()
+	m.taken <- turn
+	<-m.answer
+	return Reply{Status: policy.OK}
+}
--- a/internal/sip/front_test.go
+++ b/internal/sip/front_test.go
@@ -31,10 +31,11 @@
 
 // desk is a front with its servers and one caller.
 type desk struct {
-	t       *testing.T
+	t       testing.TB
 	front   *Front
 	servers []*sipua.Server
 	caller  *sipua.Caller
+	timing  transaction.Timing
 	stop    func()
 }
 
@@ -47,10 +48,11 @@
 	more      string      // of the configuration
 	loss      func(caller bool) sipua.Loss
 	key       string
+	timing    transaction.Timing // short times if not given
 }
 
 // config makes a checked configuration from TOML.
-func config(t *testing.T, text string) Config {
+func config(t testing.TB, text string) Config {
 	t.Helper()
 	var file struct {
 		SIP Config `toml:"sip"`
@@ -63,7 +65,7 @@
 	return file.SIP
 }
 
-func keyFile(t *testing.T) string {
+func keyFile(t testing.TB) string {
 	path := filepath.Join(t.TempDir(), "key")
 	if err := os.WriteFile(path, []byte(strings.Repeat("k", 32)), 0o600); err != nil {
 		t.Fatal(err)
@@ -71,7 +73,7 @@
 	return path
 }
 
-func open(t *testing.T, o deskOptions) *desk {
+func open(t testing.TB, o deskOptions) *desk {
 	t.Helper()
 	if o.servers == 0 {
 		o.servers = 1
@@ -91,7 +93,10 @@
 		}
 		return o.loss(caller)
 	}
-	d := &desk{t: t}
+	d := &desk{t: t, timing: o.timing}
+	if d.timing.T1 == 0 {
+		d.timing = transaction.Timing{T1: t1, T2: 8 * t1, T4: 10 * t1}
+	}
 	text := fmt.Sprintf("[sip]\nudp = \"127.0.0.1:0\"\ntcp = \"127.0.0.1:0\"\ntoken_key = %q\nping = \"20ms\"\nupstream.transport = %q\n%s", o.key, o.transport, o.more)
 	for n := range o.servers {
 		s, err := sipua.NewServer(sipua.Options{Transport: o.transport, TLS: o.tls, T1: t1, Loss: loss(false)}, o.script)
@@ -123,8 +128,7 @@
 // start runs a front in d until the test's end or d.stop.
 func (d *desk) start(c Config) {
 	d.t.Helper()
-	timing := transaction.Timing{T1: t1, T2: 8 * t1, T4: 10 * t1}
-	f, err := newFront(c, 1, core.NewClock(), timing, slog.New(slog.DiscardHandler))
+	f, err := newFront(c, 1, core.NewClock(), d.timing, slog.New(slog.DiscardHandler))
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/sip/hard_test.go
+++ b/internal/sip/hard_test.go
@@ -108,6 +108,7 @@
 
 // CANCEL and the final cross in all orders: one final for each of them.
 func TestCancelCrossings(t *testing.T) {
+	d100 := make(chan struct{}) // a server waits on it before it lets hear of itself
 	ringing := func(c *sipua.Call) {
 		c.Reply(180)
 		if c.Cancelled(limit) {
@@ -120,8 +121,12 @@
 		play   func(d *desk, tx *sipua.Transaction) (cancels []*sipua.Transaction)
 		want   int
 	}{
-		{"before 100", func(c *sipua.Call) { time.Sleep(2 * t1); ringing(c) }, func(_ *desk, tx *sipua.Transaction) []*sipua.Transaction {
-			return []*sipua.Transaction{tx.Cancel()}
+		{"before 100", func(c *sipua.Call) { <-d100; ringing(c) }, func(d *desk, tx *sipua.Transaction) []*sipua.Transaction {
+			d.await("the INVITE is at no server", func(View) bool { return d.invites(tx) == 1 })
+			cancel := tx.Cancel()
+			cancel.Final(limit)
+			d100 <- struct{}{}
+			return []*sipua.Transaction{cancel}
 		}, 487},
 		{"after 180", ringing, func(_ *desk, tx *sipua.Transaction) []*sipua.Transaction {
 			tx.Heard(180, limit)
@@ -155,9 +160,8 @@
 		}, 200},
 		{"twice", ringing, func(_ *desk, tx *sipua.Transaction) []*sipua.Transaction {
 			tx.Heard(180, limit)
-			first, second := tx.Cancel(), tx.Cancel()
-			first.Final(limit) // the same transaction: only the later one is on the caller's books
-			return []*sipua.Transaction{second}
+			tx.Cancel() // the same transaction: only the later one is on the caller's books
+			return []*sipua.Transaction{tx.Cancel()}
 		}, 487},
 		{"on another connection", ringing, func(d *desk, tx *sipua.Transaction) []*sipua.Transaction {
 			tx.Heard(180, limit)
@@ -555,7 +559,7 @@
 		defer flooder.Close()
 		for range 30 {
 			tx := flooder.Send(sipua.Request{Method: "INVITE"})
-			if !tx.Heard(100, limit/100) && tx.Final(limit) == 503 {
+			if tx.First(limit) == 503 {
 				waits[retryAfter(tx)] = true
 				lost = append(lost, tx)
 			}
--- a/internal/standin/sipua/caller.go
+++ b/internal/standin/sipua/caller.go
@@ -194,6 +194,17 @@
 	return code
 }
 
+// First waits for any response and gives its code; 0 if none came within limit.
+func (t *Transaction) First(limit time.Duration) (code int) {
+	t.caller.await(limit, func() bool {
+		if len(t.responses) > 0 {
+			code = t.responses[0].StatusCode
+		}
+		return code != 0
+	})
+	return code
+}
+
 // Heard waits for a response of a code.
 func (t *Transaction) Heard(code int, limit time.Duration) bool {
 	return t.caller.await(limit, func() bool {
--- /dev/null
+++ b/policy/parked_test.go
@@ -0,0 +1,43 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// A parked class's attempts are no load once the server has them, and are judged by
+// the time until it rang; what comes after that counts only as a failure.
+func TestParkedAttempts(t *testing.T) {
+	s := testSettings()
+	s.Classes[2].Parked, s.Classes[2].Deadline = true, time.Minute
+	r := newRig(t, s, 1)
+	server := func() ServerView { return r.b.Inspect(r.now).Servers[0] }
+	first, second := r.request(2), r.request(2)
+	if len(r.h.sends) != 1 {
+		t.Fatalf("%d sends to a server that may hold one", len(r.h.sends))
+	}
+	r.b.Taken(r.now, first, 0)
+	if len(r.h.sends) != 2 || server().InFlight != 1 {
+		t.Errorf("%d sends once the first is taken, %d in flight", len(r.h.sends), server().InFlight)
+	}
+	r.now += 100 * ms
+	for range 2 {
+		r.b.Started(r.now, first, 0)
+	}
+	if v := server(); v.Judged != 1 || v.Success != 1 {
+		t.Errorf("rung it is judged %d times, success %v", v.Judged, v.Success)
+	}
+	r.b.Outcome(r.now, Outcome{ID: first, Server: 1, Status: OK, Ended: true, Latency: 30 * time.Second}) // the phone rang for long
+	if v := server(); v.Judged != 1 || r.b.meanLatency > 2 {
+		t.Errorf("answered it is judged %d times, mean latency %v", v.Judged, r.b.meanLatency)
+	}
+	r.b.Started(r.now, second, 0)
+	r.now += 30 * time.Second
+	r.b.Outcome(r.now, Outcome{ID: second, Server: 1, Status: Timeout, Latency: 30 * time.Second})
+	if good := r.b.servers[1].good; good != 2 || r.b.servers[1].kept != 3 || !r.h.failed[second] {
+		t.Errorf("after it rang out: %d good of %d, failed %v", good, r.b.servers[1].kept, r.h.failed)
+	}
+	if v := r.b.Inspect(r.now); v.Open != 0 || v.Out != 0 || v.Servers[0].InFlight != 0 {
+		t.Errorf("left behind: %+v", v)
+	}
+}
