SIP: look for due trials five times a second

Need: a breaker that opened in a stall of the machine kept its server out for up to a second more than it must.

--- a/internal/sip/bench_test.go
+++ b/internal/sip/bench_test.go
@@ -36,7 +36,7 @@
 	f = open(b, deskOptions{servers: servers, timing: transaction.Standard(), change: func(c *Config) {
 		c.Class.Invite.Aim.Duration, c.Class.Invite.Deadline.Duration = 500*time.Millisecond, 4*time.Second
 		c.Limits.Transactions, c.Limits.PerSource = 2_000_000, 2_000_000
-		c.Ping.Duration = time.Second
+		c.Ping.Duration = 200 * time.Millisecond
 	}})
 	return f.front.Listen()["udp"], f.servers, f
 }
--- a/internal/sip/config.go
+++ b/internal/sip/config.go
@@ -33,7 +33,7 @@
 	Servers    []Server          `toml:"server"`      // or these
 	Instances  int               `toml:"instances"`   // that share the servers, this one included
 	RetryAfter tomlfile.Duration `toml:"retry_after"` // least advice to callers refused; at most twice that is given
-	Ping       tomlfile.Duration `toml:"ping"`        // how often an OPTIONS goes out while a server is out
+	Ping       tomlfile.Duration `toml:"ping"`        // how often it is looked whether a server is due its trial, an OPTIONS
 	Drain      tomlfile.Duration `toml:"drain"`       // a node told to end waits so long for calls being set up
 
 	Upstream struct {
@@ -137,7 +137,7 @@
 	}
 	least("dialog_for", &c.DialogFor, 24*time.Hour, time.Minute)
 	least("retry_after", &c.RetryAfter, 5*time.Second, time.Second)
-	least("ping", &c.Ping, time.Second, 10*time.Millisecond)
+	least("ping", &c.Ping, 200*time.Millisecond, 10*time.Millisecond)
 	least("drain", &c.Drain, 10*time.Second, 0)
 	least("limits.idle", &c.Limits.Idle, max(5*time.Minute, longest), longest)
 	count("limits.transactions", &c.Limits.Transactions, 20_000, 4)
