--- a/internal/sip/hard_test.go
+++ b/internal/sip/hard_test.go
@@ -341,13 +341,16 @@
 	}
 }
 
-// half takes a part of the first message and then breaks.
-type half struct {
+// from is a connection that says it comes from an address.
+type from struct {
 	net.Conn
 	remote net.Addr
 }
 
-func (h half) RemoteAddr() net.Addr { return h.remote }
+func (c from) RemoteAddr() net.Addr { return c.remote }
+
+// half takes a part of the first message and then breaks.
+type half struct{ from }
 
 func (h half) Write(b []byte) (int, error) { return len(b) / 2, net.ErrClosed }
 
@@ -361,7 +364,7 @@
 	}
 	near, far := net.Pipe()
 	defer far.Close()
-	if _, err := d.front.streams.add(half{near, to}, proxy.TCP, true); err != nil {
+	if _, err := d.front.streams.add(half{from{near, to}}, proxy.TCP, true); err != nil {
 		t.Fatal(err)
 	}
 	for range 50 {
@@ -768,3 +771,38 @@
 	old := d.caller.Send(sipua.Request{Method: "OPTIONS", Via: "SIP/2.0/UDP " + d.caller.Addr()})
 	d.await("no OPTIONS of RFC 2543", func(v View) bool { return v.Finals[200] >= 3 && d.servers[0].Count("OPTIONS", old.CallID) == 1 })
 }
+
+// A front that is far behind drops datagrams, which their senders repeat; one side that
+// takes nothing off its connection loses it. Neither holds up the rest.
+func TestQueuesAreBounded(t *testing.T) {
+	d := open(t, deskOptions{})
+	resume, stuck := make(chan struct{}), make(chan struct{})
+	d.front.post(func() { close(stuck); <-resume })
+	<-stuck
+	q := sipua.Request{Method: "OPTIONS"}
+	text := d.caller.Write(&q)
+	for end := time.Now().Add(limit); d.front.dropped.Load() == 0; {
+		if err := d.caller.Raw(text); err != nil || time.Now().After(end) {
+			t.Fatalf("nothing is dropped: %v", err)
+		}
+	}
+	if n := len(d.front.events); n > eventsMost {
+		t.Errorf("%d events wait", n)
+	}
+	close(resume)
+	one(t, d.caller.Send(sipua.Request{Method: "INVITE"}), 200)
+
+	near, far := net.Pipe() // nobody reads at far
+	defer far.Close()
+	s, err := d.front.streams.add(from{near, &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 9}}, proxy.TCP, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := 0; d.front.streams.queue(s, outgoing{text: text}); n++ {
+		if n > queueMost+1 {
+			t.Fatalf("%d messages wait on one connection", n)
+		}
+	}
+	d.await("the connection is held", func(v View) bool { return v.Connections == 0 })
+	one(t, d.caller.Send(sipua.Request{Method: "INVITE"}), 200)
+}
--- /dev/null
+++ b/internal/sip/proxy/bounds_test.go
@@ -0,0 +1,136 @@
+package proxy
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"otterstep/internal/sip/message"
+)
+
+// A flood of calls from invented sources fills its part of the table and no more; a
+// request inside a dialog still finds room, and all of it is free again in the end.
+func TestSpoofedFloodIsBounded(t *testing.T) {
+	w := newWorld(t, 1, 0)
+	w.m.o.Limits = Limits{Transactions: 200, PerSource: 10}
+	quiet := &quietHost{world: w}
+	w.m.o.Host = quiet
+	receive := func(n int, method, extra string) {
+		text := fmt.Appendf(nil, "%s sip:desk@pool SIP/2.0\r\nVia: SIP/2.0/UDP 10.0.0.1;rport;branch=z9hG4bK%d%s\r\nFrom: <sip:a@b>;tag=t%d\r\nTo: <sip:desk@pool>%s\r\nCall-ID: flood%d\r\nCSeq: 1 %s\r\n\r\n",
+			method, n, method, n, extra, n, method)
+		q, err := message.Parse(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// Ten from each of many addresses of IPv6, of which 65,536 are one /64.
+		addr := [16]byte{0x20, 1, 0xd, 0xb8, 0, 0, byte(n / 40), 0, 0, 0, 0, 0, 0, 0, 0, byte(n)}
+		w.m.Receive(w.now, Peer{Transport: UDP, Addr: netip.AddrPortFrom(netip.AddrFrom16(addr), 5060)}, q, nil)
+	}
+	for n := range 4000 {
+		receive(n, message.Invite, "")
+		if len(w.m.exchanges) > 150 || len(w.m.sources) > 100 || len(w.m.timers) > 150 {
+			t.Fatalf("%d exchanges, %d sources, %d timers", len(w.m.exchanges), len(w.m.sources), len(w.m.timers))
+		}
+	}
+	if c := w.m.counts.Refused; c["source"] == 0 || c["transactions"] == 0 || len(w.m.exchanges) != 150 {
+		t.Errorf("%d exchanges, refused %v", len(w.m.exchanges), c)
+	}
+	// A call that was set up before the flood.
+	user := w.m.o.Sealer.Seal(w.pin(2), "flood9999", "t9999")
+	for n := range 100 {
+		text := fmt.Appendf(nil, "INFO sip:desk@pool SIP/2.0\r\nVia: SIP/2.0/UDP 10.0.0.1;rport;branch=z9hG4bKi%d\r\nRoute: <sip:%s@127.0.0.1:5060;lr>\r\nFrom: <sip:a@b>;tag=t9999\r\nTo: <sip:desk@pool>;tag=d\r\nCall-ID: flood9999\r\nCSeq: %d INFO\r\n\r\n", n, user, n+2)
+		q, err := message.Parse(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.m.Receive(w.now, Peer{Transport: UDP, Addr: netip.MustParseAddrPort("127.0.0.8:5060")}, q, nil)
+	}
+	if n := quiet.sent["INFO"]; n != 50 || len(w.m.exchanges) != 200 {
+		t.Errorf("%d requests inside a dialog went on, %d exchanges; %+v", n, len(w.m.exchanges), w.m.counts)
+	}
+	for due := w.m.Due(); due > 0; due = w.m.Due() {
+		w.now = due
+		w.m.Tick(due)
+	}
+	if n := len(w.m.exchanges) + len(w.m.branches) + len(w.m.sources) + len(w.m.timers); n != 0 {
+		t.Errorf("%d things are left behind", n)
+	}
+}
+
+// quietHost drops what it is given and counts requests by method.
+type quietHost struct {
+	*world
+	sent map[string]int
+}
+
+func (h *quietHost) Transmit(_ Peer, _ string, text []byte) {
+	m, err := message.Parse(text)
+	if err != nil && bytes.Contains(text, []byte("\r\nWarning: 399 ")) {
+		return // it has the words of the broken request that it answers
+	}
+	if err != nil {
+		h.t.Fatalf("the Machine wrote what can't be read: %v\n%s", err, text)
+	}
+	if h.sent == nil {
+		h.sent = map[string]int{}
+	}
+	h.sent[m.Method]++
+}
+func (h *quietHost) Submit(Ask)         {}
+func (h *quietHost) Leave(uint64)       {}
+func (h *quietHost) Finish(uint64, End) {}
+
+// Whatever datagrams come in whatever order, nothing panics, what the Machine writes
+// can be read, the bounds hold, and nothing is left when the timers have run.
+func FuzzReceive(f *testing.F) {
+	invite := "INVITE sip:desk@pool SIP/2.0\r\nVia: SIP/2.0/UDP 10.0.0.1;rport;branch=z9hG4bKa\r\nFrom: <sip:a@b>;tag=t\r\nTo: <sip:desk@pool>\r\nCall-ID: c\r\nCSeq: 1 INVITE\r\n\r\n"
+	f.Add([]byte(invite), []byte("SIP/2.0 200 OK\r\nVia: SIP/2.0/UDP 127.0.0.1:5060;branch=BRANCH\r\nFrom: <sip:a@b>;tag=t\r\nTo: <sip:desk@pool>;tag=x\r\nCall-ID: c\r\nCSeq: 1 INVITE\r\nContact: <sip:x@y>\r\n\r\n"), byte(0))
+	f.Add([]byte(invite), []byte("CANCEL sip:desk@pool SIP/2.0\r\nVia: SIP/2.0/UDP 10.0.0.1;rport;branch=z9hG4bKa\r\nFrom: <sip:a@b>;tag=t\r\nTo: <sip:desk@pool>\r\nCall-ID: c\r\nCSeq: 1 CANCEL\r\n\r\n"), byte(1))
+	f.Add([]byte(invite), []byte("SIP/2.0 503 Full\r\nVia: SIP/2.0/UDP 127.0.0.1:5060;branch=BRANCH\r\nFrom: <sip:a@b>;tag=t\r\nTo: <sip:desk@pool>;tag=x\r\nCall-ID: c\r\nCSeq: 1 INVITE\r\nRecord-Route: <sip:a;lr>\r\n\r\n"), byte(2))
+	f.Fuzz(func(t *testing.T, first, second []byte, order byte) {
+		w := newWorld(t, uint64(order), 0)
+		w.m.o.Limits = Limits{Transactions: 8, PerSource: 4}
+		w.m.o.Host = &quietHost{world: w}
+		from := Peer{Transport: UDP, Addr: netip.MustParseAddrPort("127.0.0.3:9000")}
+		receive := func(text []byte) {
+			// A response can name a branch only as the Machine chose it.
+			for id := range w.m.branches {
+				if m, err := message.Parse(text); err == nil && !m.Request() && m.Via.Branch == "BRANCH" {
+					m.Via.Branch = w.m.branches[id].id
+					w.m.Receive(w.now, from, m, nil)
+				}
+			}
+			m, err := message.Parse(text)
+			w.m.Receive(w.now, from, m, err)
+		}
+		for n := range 12 {
+			w.now += time.Duration(order) * 10 * time.Millisecond
+			w.m.Tick(w.now)
+			if n%3 == 0 {
+				receive(first)
+			} else {
+				receive(second)
+			}
+			for id := range w.m.exchanges {
+				w.m.Attempt(w.now, id, uint64(n)*100+id, 1, serverPeer(1), func() bool { return true })
+				break
+			}
+			if len(w.m.exchanges) > 8 || len(w.m.sources) > 8 {
+				t.Fatalf("%d exchanges, %d sources", len(w.m.exchanges), len(w.m.sources))
+			}
+		}
+		for range 10_000 {
+			due := w.m.Due()
+			if due == 0 {
+				break
+			}
+			w.now = max(w.now, due)
+			w.m.Tick(w.now)
+		}
+		if len(w.m.exchanges)+len(w.m.branches)+len(w.m.timers) > 0 {
+			t.Fatalf("left behind: %+v", w.m.Inspect())
+		}
+	})
+}
--- a/internal/sip/proxy/model_test.go
+++ b/internal/sip/proxy/model_test.go
@@ -114,7 +114,12 @@
 	return w
 }
 
-// step runs events and the Machine's timers in order until nothing is left.
+// pin is a token's content for a dialog of a caller at a server.
+func (w *world) pin(server uint64) token.Pin {
+	return token.Pin{Server: server, Caller: token.Way{Source: netip.MustParseAddrPort("127.0.0.8:5060")}, Expires: w.m.o.Wall(w.now).Add(time.Hour)}
+}
+
+// run runs events and the Machine's timers in order until nothing is left.
 func (w *world) run() {
 	for range 2_000_000 {
 		due := w.m.Due()
