--- a/internal/sip/config.go
+++ b/internal/sip/config.go
@@ -271,6 +271,11 @@
 	return p, nil
 }
 
+// grain is the signalling time below which servers are alike: a caller notices none of
+// it, and a server that has not let hear of itself four grains after its INVITE is
+// silent, though a lost datagram is sent again only after T1, 500 ms.
+const grain = 100 * time.Millisecond
+
 // settings are the pool's, for its decision module.
 func (c *Config) settings() policy.Settings {
 	s := policy.Defaults()
@@ -279,7 +284,7 @@
 	worth := [proxy.Classes]float64{proxy.Calls: 10, proxy.Registers: 2, proxy.Subscribes: 1, proxy.Pings: 1, proxy.Others: 1}
 	for i, class := range c.classes() {
 		p := policy.Class{
-			Aim: class.Aim.Duration, Deadline: class.Deadline.Duration, Worth: worth[i], LateWorth: 0.5,
+			Aim: class.Aim.Duration, Deadline: class.Deadline.Duration, Worth: worth[i], LateWorth: 0.5, Grain: grain,
 			Effect: policy.Unsafe, Parked: i == int(proxy.Calls),
 		}
 		switch {
--- a/policy/api.go
+++ b/policy/api.go
@@ -47,6 +47,7 @@
 	Scope      Scope         // for Keyed
 	Window     time.Duration // for Keyed: how long repeats are dropped, from the first send
 	Stream     bool          // the answer is a stream; see Balancer.Started
+	Grain      time.Duration // latencies below it are all the same to the class
 	Parked     bool          // once the server has taken it in it is no load, as a phone that rings; see Balancer.Taken
 }
 
--- a/policy/parked_test.go
+++ b/policy/parked_test.go
@@ -5,6 +5,26 @@
 	"time"
 )
 
+// Below the grain a class's servers are all the same, and a stall is no silence.
+func TestGrain(t *testing.T) {
+	for _, grain := range []time.Duration{0, 100 * ms} {
+		s := testSettings()
+		s.Classes[0].Grain = grain
+		r := newRig(t, s, 2)
+		for range 200 { // server 2 is slower by far less than the grain
+			id := r.request(0)
+			server := r.sendsOf(id)[0]
+			latency := time.Duration(server) * 5 * ms
+			r.now += latency
+			r.b.Outcome(r.now, Outcome{ID: id, Server: server, Status: OK, Ended: true, Latency: latency})
+		}
+		mean := func(id ServerID) float64 { return r.b.servers[id].latencySum / float64(r.b.servers[id].good) }
+		if alike := mean(2) < 1.1*mean(1); alike != (grain > 0) {
+			t.Errorf("grain %v: the mean latencies are %.3f and %.3f of a lone one", grain, mean(1), mean(2))
+		}
+	}
+}
+
 // A parked class's attempts are no load once the server has them, and are judged by
 // the time until it rang; what comes after that counts only as a failure.
 func TestParkedAttempts(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -448,7 +448,7 @@
 	}
 	b.ended(r, a)
 	a.neverRan = o.Status == Full || o.Status == ConnectFailed || o.Status == Moot
-	b.judge(now, r, a, o)
+	b.judge(now, r, a, r.class.grained(o))
 	if o.Ended || o.Status == OK {
 		b.finish(r)
 	} else if !r.done && r.out == 0 {
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -110,6 +110,8 @@
 			return bad(field("Effect"), c.Effect)
 		case c.Scope > ScopeCell:
 			return bad(field("Scope"), c.Scope)
+		case c.Grain < 0:
+			return bad(field("Grain"), c.Grain)
 		case c.Window < 0:
 			return bad(field("Window"), c.Window)
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -337,6 +337,13 @@
 	}
 }
 
+// grained gives an outcome as the class sees it: servers are not told apart, nor taken
+// for crowded or silent, by what nobody notices.
+func (c *class) grained(o Outcome) Outcome {
+	o.Latency = max(o.Latency, c.Grain)
+	return o
+}
+
 func (c *class) sameGroup(a *attempt, s *server) bool {
 	switch c.Scope {
 	case ScopeZone:
@@ -512,7 +519,7 @@
 	}
 	r.stream = true
 	if r.class.Parked {
-		b.judge(now, r, a, Outcome{Status: OK, Latency: now - a.sent})
+		b.judge(now, r, a, r.class.grained(Outcome{Status: OK, Latency: now - a.sent}))
 		b.unload(a)
 		b.dispatch(now)
 	} else {
