--- /dev/null
+++ b/internal/core/bench_test.go
@@ -0,0 +1,48 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"otterstep/policy"
+)
+
+// BenchmarkLoop gives the cost of one request of the loop with a server that answers
+// at once: time and allocations, one request at a time.
+func BenchmarkLoop(b *testing.B) {
+	l, err := New(Options{Settings: settings(), Seed: 1, Clock: NewClock(), Watch: func() {}, Drop: func(Server) {}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	go l.Run(ctx)
+	entries, addrs := make([]policy.Entry, 8), make([]string, 8)
+	for i := range entries {
+		entries[i] = policy.Entry{Server: policy.ServerID(i + 1), State: policy.Ready, Weight: 1}
+	}
+	l.Members(policy.ListFull, entries, addrs)
+	names := make([]string, b.N)
+	for i := range names {
+		names[i] = fmt.Sprint(i)
+	}
+	m := &answering{}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		answers := make(chan Answer, 1)
+		l.Submit(Request{Name: names[i], Deadline: l.Clock().Now() + time.Second, Message: m, Answers: answers})
+		if a := <-answers; a.Kind != Served {
+			b.Fatalf("%+v", a)
+		}
+	}
+}
+
+type answering struct{}
+
+func (answering) Attempt(_ context.Context, _ Server, _ time.Duration, turn Turn) Reply {
+	turn.Begin()
+	return Reply{Status: policy.OK}
+}
