--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -39,7 +39,7 @@
 
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "otterlab", Short: "A fleet on loopback, to look at and to break", Version: buildinfo.Version()}
-	root.AddCommand(demo(), up(), box(), status(), guard())
+	root.AddCommand(demo(), up(), box(), status(), guard(), experiments())
 	return root
 }
 
--- /dev/null
+++ b/internal/experiment/print.go
@@ -0,0 +1,39 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// Print writes runs as a table for people.
+func Print(w io.Writer, x *Experiment, runs []Run) error {
+	fmt.Fprintf(w, "%s\n\n", x.File.About)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "SEED\tASKED\tWITHIN AIM\tP50\tP99\tATTEMPTS\tENDS\tDIGEST")
+	for _, r := range runs {
+		var ends []string
+		for _, how := range slices.Sorted(maps.Keys(r.Results.Ends)) {
+			ends = append(ends, fmt.Sprintf("%s %d", how, r.Results.Ends[how]))
+		}
+		fmt.Fprintf(t, "%d\t%d\t%.4f\t%v\t%v\t%.3f\t%s\t%s\n", r.Seed, r.Results.Asked, r.Share, r.Results.P50, r.Results.P99,
+			r.Results.PerRequest(), strings.Join(ends, ", "), r.Results.Digest)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, r := range runs {
+		for _, f := range r.Failed {
+			fmt.Fprintf(w, "seed %d: %s\n", r.Seed, f)
+		}
+	}
+	return nil
+}
+
+// Held tells whether all held in all runs.
+func Held(runs []Run) bool {
+	return !slices.ContainsFunc(runs, func(r Run) bool { return len(r.Failed) > 0 })
+}
--- /dev/null
+++ b/internal/experiment/table.go
@@ -0,0 +1,50 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"otterstep/internal/sim"
+)
+
+// With gives the experiment with another policy in its nodes.
+func (x *Experiment) With(policy string) *Experiment {
+	other := *x
+	other.Options.Policy = policy
+	return &other
+}
+
+// Table plays each experiment with each policy and the same seeds, and writes how the
+// shares within the aim differ from ours, with 95% intervals; a star marks those that
+// broke a rule at some seed.
+func Table(ctx context.Context, w io.Writer, names []string, all []*Experiment, seed uint64, runs int) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "EXPERIMENT\tPOLICY\tWITHIN AIM\tATTEMPTS\tOURS IS BETTER BY\t95% INTERVAL\t")
+	for i, x := range all {
+		var base []Run
+		for _, policy := range sim.Policies {
+			got, err := x.With(policy).Play(ctx, seed, runs)
+			if err != nil {
+				return err
+			}
+			if base == nil {
+				base = got
+			}
+			d := Compare(got, base)
+			star, attempts := "", 0.0
+			for _, r := range got {
+				attempts += r.Results.PerRequest() / float64(len(got))
+				if len(r.Results.Broken) > 0 {
+					star = "*"
+				}
+			}
+			fmt.Fprintf(t, "%s\t%s%s\t%.4f\t%.3f\t%+.4f\t%+.4f to %+.4f\t\n", names[i], policy, star, d.A, attempts, d.Mean, d.Low, d.High)
+		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sim/clients.go
@@ -0,0 +1,174 @@
+package sim
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"otterstep/internal/core"
+	"otterstep/policy"
+)
+
+// Load is what clients ask for: an open loop, so that a slow answer does not slow the
+// asking.
+type Load struct {
+	Rate    float64   // requests a second at most, over all nodes
+	Shares  []float64 // of the classes
+	Tenants int
+	Skew    float64 // Zipf's exponent of the tenants; 0: all alike
+	Keys    int     // different keys; 0: each request its own
+	Bursts  bool    // arrivals in groups of ten
+	Curve   func(time.Duration) float64
+	Heed    float64 // share of clients that wait for Retry-After and come back; the rest leave
+	Tries   int     // of a client whose request was refused
+	Rash    float64 // share of clients that ask again at once, refused or failed, whatever they were told
+}
+
+// clients draw requests and judge their ends.
+type clients struct {
+	world   *World
+	rng     *rand.Rand
+	tenants []float64 // cumulative
+	last    uint64
+}
+
+// request is what a client wants, over all of its tries.
+type request struct {
+	class, tenant int
+	key           uint64
+	began, end    time.Duration
+	tries         int
+	heeds, rash   bool
+}
+
+// try is one try of a request: one request at one node.
+type try struct {
+	*request
+	world    *World
+	record   *record
+	deadline time.Duration
+	over     bool
+}
+
+func newClients(w *World) *clients {
+	c := &clients{world: w, rng: Stream(w.seed, "clients")}
+	sum := 0.0
+	for i := range max(1, w.opt.Load.Tenants) {
+		sum += 1 / math.Pow(float64(i+1), w.opt.Load.Skew)
+		c.tenants = append(c.tenants, sum)
+	}
+	return c
+}
+
+// arrive schedules the next arrival: Poisson by thinning under a curve.
+func (c *clients) arrive() {
+	w := c.world
+	l := w.opt.Load
+	group := 1
+	if l.Bursts {
+		group = 10
+	}
+	gap := time.Duration(c.rng.ExpFloat64() * float64(group) / l.Rate * float64(time.Second))
+	w.engine.After(gap, func() {
+		if w.engine.Now() >= w.start+w.opt.For {
+			return
+		}
+		if l.Curve == nil || c.rng.Float64() < l.Curve(w.engine.Now()-w.start) {
+			for range group {
+				c.ask()
+			}
+		}
+		c.arrive()
+	})
+}
+
+func (c *clients) ask() {
+	w := c.world
+	l := w.opt.Load
+	q := &request{began: w.engine.Now(), heeds: c.rng.Float64() < l.Heed, rash: c.rng.Float64() < l.Rash}
+	at := c.rng.Float64()
+	for i, share := range l.Shares {
+		if q.class = i; at < share {
+			break
+		}
+		at -= share
+	}
+	x := c.rng.Float64() * c.tenants[len(c.tenants)-1]
+	q.tenant, _ = slices.BinarySearch(c.tenants, x)
+	c.last++
+	if q.key = c.last; l.Keys > 0 {
+		q.key = 1 + c.rng.Uint64N(uint64(l.Keys))
+	}
+	q.end = q.began + w.settings.Classes[q.class].Deadline
+	w.results.Asked++
+	c.try(q)
+}
+
+// try sends a request to a node at random that is up.
+func (c *clients) try(q *request) {
+	w := c.world
+	q.tries++
+	w.results.Tries++
+	up := w.nodes[c.rng.IntN(len(w.nodes))]
+	for range w.nodes {
+		if !up.down {
+			break
+		}
+		up = w.nodes[(up.index+1)%len(w.nodes)]
+	}
+	t := &try{request: q, world: w, deadline: q.end}
+	t.record = w.ledger.begin(w.results.Tries, q.class, q.end)
+	w.engine.At(q.end+10*time.Millisecond, func() {
+		if !t.over {
+			t.over = true
+			w.ledger.end(t.record, true)
+			w.results.end(t, "unanswered")
+		}
+	})
+	w.engine.After(w.opt.ClientNet.Draw(c.rng), func() { up.submit(t) })
+}
+
+// answered takes an answer that has come.
+func (t *try) answered(a core.Answer) {
+	w := t.world
+	w.ledger.answered(t.record, a.Kind)
+	if t.over {
+		return
+	}
+	t.over = true
+	w.ledger.end(t.record, true)
+	again := t.tries < max(1, w.opt.Load.Tries) && a.Kind != core.Served
+	now := w.engine.Now()
+	unsafe := w.settings.Classes[t.class].Effect == policy.Unsafe && a.Kind != core.Refused
+	switch wait := a.RetryAfter + time.Duration(float64(a.RetryAfter)*w.clients.rng.Float64()/2); {
+	case again && !unsafe && t.rash:
+		w.clients.try(t.request)
+	case again && t.heeds && a.Kind == core.Refused && now+wait < t.end:
+		w.engine.After(wait, func() { w.clients.try(t.request) })
+	default:
+		w.results.end(t, a.Kind.String())
+	}
+}
+
+// gone tells that the node died with the try: its client sees that, and the rules owe it
+// nothing.
+func (t *try) gone() {
+	if t.over {
+		return
+	}
+	t.over = true
+	t.world.ledger.end(t.record, false)
+	t.world.results.end(t, "node died")
+}
+
+func sortTries(all []*try) {
+	slices.SortFunc(all, func(a, b *try) int { return cmp.Compare(a.record.id, b.record.id) })
+}
+
+// word gives a try as the digest has it.
+func (t *try) word(how string) string {
+	return fmt.Sprintf("%d %d %d %d %s\n", t.record.id, t.class, t.began, t.world.engine.Now(), how)
+}
--- /dev/null
+++ b/internal/sim/node.go
@@ -0,0 +1,193 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"otterstep/internal/core"
+	"otterstep/policy"
+)
+
+// Network is how messages travel between a node and a server: each way takes a time, and
+// a message that is lost is silence, as TCP's retransmissions come too late to matter.
+type Network struct {
+	Latency Times
+	Loss    float64
+}
+
+// node is one balancer in virtual time.
+type node struct {
+	world   *World
+	index   int
+	decides balancer
+	rng     *rand.Rand
+	wake    time.Duration // an event is due then; 0 for none
+	drained map[policy.ServerID]time.Duration
+	cut     map[*Server]bool // nothing gets from here to there
+	open    map[*try]bool
+	down    bool
+	life    int
+}
+
+func newNode(w *World, index int) (*node, error) {
+	n := &node{world: w, index: index, rng: Stream(w.seed, fmt.Sprint("node ", index)), cut: map[*Server]bool{}}
+	return n, n.start()
+}
+
+// start makes the node's balancer anew, as a process that knows nothing.
+func (n *node) start() error {
+	b, err := newBalancer(n.world, n.world.opt.Policy, n.rng)
+	n.decides, n.wake, n.down = b, 0, false
+	n.drained, n.open = map[policy.ServerID]time.Duration{}, map[*try]bool{}
+	n.life++
+	return err
+}
+
+// did carries out what the balancer says after an event, and sets its alarm.
+func (n *node) did() {
+	e := n.world.engine
+	for _, a := range n.decides.acts() {
+		if a.attempt != nil {
+			n.attempt(a.attempt)
+		} else {
+			delete(n.open, a.try)
+			n.answer(a.try, a.answer)
+		}
+	}
+	due, ok := n.decides.due()
+	if !ok || n.wake != 0 && n.wake <= due {
+		return
+	}
+	n.wake = max(due, e.Now())
+	life, at := n.life, n.wake
+	e.At(at, func() {
+		if n.life != life || n.down || n.wake != at {
+			return
+		}
+		n.wake = 0
+		for n.decides.tick(e.Now()) {
+		}
+		n.did()
+	})
+}
+
+// answer brings a client its answer.
+func (n *node) answer(t *try, a core.Answer) {
+	p := n.world.planted
+	if p.swallow != nil && p.swallow(t) {
+		return
+	}
+	n.world.engine.After(n.world.opt.ClientNet.Draw(n.rng), func() {
+		t.answered(a)
+		if p.answer != nil {
+			p.answer(t, a)
+		}
+	})
+}
+
+// members tells the node of servers.
+func (n *node) members(kind policy.ListKind, servers []*Server) {
+	if n.down {
+		return
+	}
+	entries, addrs := make([]policy.Entry, len(servers)), make([]string, len(servers))
+	for i, s := range servers {
+		entries[i], addrs[i] = s.opt.Entry, s.opt.Addr
+		if delete(n.drained, s.opt.Entry.Server); s.opt.Entry.State != policy.Ready {
+			n.drained[s.opt.Entry.Server] = n.world.engine.Now()
+		}
+	}
+	if n.world.planted.deaf && kind == policy.ListDelta {
+		return
+	}
+	n.decides.members(n.world.engine.Now(), kind, entries, addrs)
+	n.did()
+}
+
+// submit takes a client's try.
+func (n *node) submit(t *try) {
+	if n.down {
+		t.gone()
+		return
+	}
+	n.open[t] = true
+	n.decides.submit(n.world.engine.Now(), t)
+	n.did()
+}
+
+// crash ends the node: what it held is gone, its clients see that.
+func (n *node) crash() {
+	n.down = true
+	n.life++
+	lost := make([]*try, 0, len(n.open))
+	for t := range n.open {
+		lost = append(lost, t)
+	}
+	clear(n.open)
+	sortTries(lost)
+	for _, t := range lost {
+		t.gone()
+	}
+}
+
+// attempt carries one attempt to its server and its outcome back. The request has not
+// run before the server has it; a connection costs a way there and back.
+func (n *node) attempt(a *attempt) {
+	w := n.world
+	e := w.engine
+	t := a.try
+	s := w.byID[a.to]
+	life := n.life
+	finish := func(status policy.Status) {
+		if n.life == life && !n.down {
+			n.decides.finished(e.Now(), a, status)
+			n.did()
+		}
+	}
+	way := func() time.Duration { return w.opt.Net.Latency.Draw(n.rng) }
+	lost := func() bool { return n.cut[s] || s.mute || w.opt.Net.Loss > 0 && n.rng.Float64() < w.opt.Net.Loss }
+	e.After(2*way(), func() {
+		switch {
+		case n.life != life:
+			return
+		case lost():
+			return // the connection never comes up: the Machine gives it up
+		case s.down:
+			finish(policy.ConnectFailed)
+			return
+		case !a.begin():
+			finish(policy.Moot)
+			return
+		}
+		w.results.Attempts++
+		w.ledger.sent(t.record, n.drained[a.to])
+		serverLife := s.life
+		e.After(way(), func() {
+			if s.life != serverLife {
+				finish(policy.Reset)
+				return
+			}
+			j := &job{
+				class: t.class, key: t.key, req: t.record,
+				done: func(status policy.Status) {
+					if !lost() {
+						e.After(way(), func() { finish(status) })
+					}
+				},
+				broken: func() { e.After(way(), func() { finish(policy.Reset) }) },
+			}
+			s.receive(j)
+			if w.planted.again != nil && w.planted.again(j) {
+				twin := *j
+				s.receive(&twin)
+			}
+		})
+	})
+}
+
+// Attempt implements core.Message; in virtual time the node carries attempts itself.
+func (t *try) Attempt(context.Context, core.Server, time.Duration, core.Turn) core.Reply {
+	panic("sim: a Machine makes no attempts")
+}
--- /dev/null
+++ b/internal/sim/server_test.go
@@ -0,0 +1,121 @@
+package sim
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"otterstep/policy"
+)
+
+// queueWait plays Poisson arrivals at one server and gives the mean time that requests
+// waited before they were served, in seconds.
+func queueWait(t *testing.T, rate float64, parallel int, service Times, arrivals int) float64 {
+	t.Helper()
+	e := NewEngine(time.Hour)
+	l := newLedger(e, []policy.Class{{}})
+	s := NewServer(ServerOptions{Parallel: parallel, Queue: math.MaxInt, Service: map[int]Times{0: service}, Window: []time.Duration{0}, Rules: policy.Defaults().Rules}, e, Stream(1, "server"), l)
+	rng := Stream(1, "arrivals")
+	whole, ended := 0.0, 0
+	var arrive func()
+	arrive = func() {
+		at := e.Now()
+		s.receive(&job{req: &record{}, done: func(policy.Status) {
+			whole += (e.Now() - at).Seconds()
+			ended++
+		}})
+		if arrivals--; arrivals > 0 {
+			e.After(time.Duration(rng.ExpFloat64()/rate*float64(time.Second)), arrive)
+		}
+	}
+	arrive()
+	e.Run(math.MaxInt64)
+	if len(s.inside) != 0 || ended == 0 {
+		t.Fatalf("%d are still inside, %d ended", len(s.inside), ended)
+	}
+	return whole/float64(ended) - service.Mean.Seconds()
+}
+
+// erlangC is the share of arrivals that wait in M/M/c with a load of a Erlangs.
+func erlangC(c int, a float64) float64 {
+	sum, term := 0.0, 1.0
+	for k := range c {
+		sum += term
+		term *= a / float64(k+1)
+	}
+	last := term * float64(c) / (float64(c) - a)
+	return last / (sum + last)
+}
+
+// Waits against the formulas: M/M/1, M/M/c by Erlang C, M/G/1 by Pollaczek and Khinchine.
+func TestWaitsAgainstQueueingTheory(t *testing.T) {
+	const ms = time.Millisecond
+	sigma := 0.6
+	for _, c := range []struct {
+		name     string
+		rate     float64
+		parallel int
+		service  Times
+		want     float64
+	}{
+		{"M/M/1", 70, 1, Times{Kind: "exponential", Mean: 10 * ms}, 0.7 / (100 - 70)},
+		{"M/M/4", 320, 4, Times{Kind: "exponential", Mean: 10 * ms}, erlangC(4, 3.2) / (400 - 320)},
+		{"M/D/1", 70, 1, Times{Kind: "constant", Mean: 10 * ms}, 70 * 1e-4 / 2 / 0.3},
+		{"M/G/1", 70, 1, Times{Kind: "lognormal", Mean: 10 * ms, Sigma: sigma}, 70 * 1e-4 * math.Exp(sigma*sigma) / 2 / 0.3},
+		{"M/U/1", 70, 1, Times{Kind: "uniform", Mean: 10 * ms}, 70 * 1e-4 * 4 / 3 / 2 / 0.3},
+	} {
+		if got := queueWait(t, c.rate, c.parallel, c.service, 1_200_000); math.Abs(got/c.want-1) > 0.02 {
+			t.Errorf("%s: waits of %.3f ms, want %.3f", c.name, 1000*got, 1000*c.want)
+		}
+	}
+}
+
+// The supermarket model (Mitzenmacher, "The power of two choices in randomized load
+// balancing", IEEE TPDS 12(10), 2001): with arrivals of rate r for each of many servers
+// that go to the shorter of two queues, the share of servers with i requests or more is
+// r^(2^i - 1).
+func TestPowerOfTwoChoicesAgainstTheSupermarketModel(t *testing.T) {
+	const servers, rate, looks = 1000, 0.9, 3000
+	e := NewEngine(time.Hour)
+	l := newLedger(e, []policy.Class{{}})
+	var all []*Server
+	for range servers {
+		all = append(all, NewServer(ServerOptions{Parallel: 1, Queue: math.MaxInt, Service: map[int]Times{0: {Kind: "exponential", Mean: time.Second}}, Window: []time.Duration{0}, Rules: policy.Defaults().Rules}, e, Stream(2, "server"+string(rune(len(all)))), l))
+	}
+	rng := Stream(2, "arrivals")
+	var arrive func()
+	arrive = func() {
+		a, b := all[rng.IntN(servers)], all[rng.IntN(servers)]
+		if len(b.inside) < len(a.inside) {
+			a = b
+		}
+		a.receive(&job{req: &record{}, done: func(policy.Status) {}})
+		e.After(time.Duration(rng.ExpFloat64()/(rate*servers)*float64(time.Second)), arrive)
+	}
+	arrive()
+	e.Run(time.Hour + 500*time.Second) // until it is stationary
+	var tail [8]float64
+	longest := 0.0
+	for n := range looks {
+		e.Run(time.Hour + time.Duration(501+n)*time.Second)
+		most := 0
+		for _, s := range all {
+			for i := range min(len(s.inside), len(tail)-1) {
+				tail[i+1] += 1.0 / servers / looks
+			}
+			most = max(most, len(s.inside))
+		}
+		longest += float64(most) / looks
+	}
+	for i := 1; i <= 4; i++ {
+		want := math.Pow(rate, math.Pow(2, float64(i))-1)
+		if math.Abs(tail[i]/want-1) > 0.04 {
+			t.Errorf("%d or more: %.4f of the servers, want %.4f", i, tail[i], want)
+		}
+	}
+	// The longest queue is where the model expects one server: between i with 1000 r^(2^i-1)
+	// above 1 and below it, 6 and 7 here; at random it would be about 60.
+	if longest < 5 || longest > 8 {
+		t.Errorf("the longest queue is %.2f on average", longest)
+	}
+}
