Module: unsafe requests at the head of the queue no longer block the trial

Cause: with every breaker half-open, a held unsafe request, which may be no trial, ended the walk through the queue, so that the safe ones behind it were none either. While unsafe requests kept coming, the node refused nearly all, for good. Change: such a request lets others pass while a server awaits its trial.

--- a/internal/sim/clients.go
+++ b/internal/sim/clients.go
@@ -27,6 +27,9 @@
 	Rash    float64 // share of clients that ask again at once, refused or failed, whatever they were told
 }
 
+// leastLeft is what a client has left when it asks again.
+const leastLeft = 50 * time.Millisecond
+
 // clients draw requests and judge their ends.
 type clients struct {
 	world   *World
@@ -140,13 +143,13 @@
 	}
 	t.over = true
 	w.ledger.end(t.record, true)
-	again := t.tries < max(1, w.opt.Load.Tries) && a.Kind != core.Served
 	now := w.engine.Now()
+	again := t.tries < max(1, w.opt.Load.Tries) && a.Kind != core.Served && now+leastLeft < t.end
 	unsafe := w.settings.Classes[t.class].Effect == policy.Unsafe && a.Kind != core.Refused
 	switch wait := a.RetryAfter + time.Duration(float64(a.RetryAfter)*w.clients.rng.Float64()/2); {
 	case again && !unsafe && t.rash:
 		w.clients.try(t.request)
-	case again && t.heeds && a.Kind == core.Refused && now+wait < t.end:
+	case again && t.heeds && a.Kind == core.Refused && now+wait+leastLeft < t.end:
 		w.engine.After(wait, func() { w.clients.try(t.request) })
 	default:
 		w.results.end(t, a.Kind.String())
--- a/policy/parked_test.go
+++ b/policy/parked_test.go
@@ -61,3 +61,27 @@
 		t.Errorf("left behind: %+v", v)
 	}
 }
+
+// With all servers half-open, unsafe requests at the head of the queue, which may be no
+// trial, don't keep a safe one behind them from being it: the simulation's retry storm
+// found nodes that stayed like this for good.
+func TestUnsafeRequestsDontBlockTheTrial(t *testing.T) {
+	s := testSettings()
+	s.Classes[2].Worth = 100 // first in the queue
+	r := newRig(t, s, 2)
+	for id := range r.b.servers {
+		r.b.servers[id].breaker, r.b.servers[id].reopenAt = open, r.now+ms
+	}
+	r.now += 10 * ms
+	before := len(r.h.sends)
+	for range 3 {
+		r.request(2)
+	}
+	if len(r.h.sends) != before {
+		t.Fatal("an unsafe request is a trial")
+	}
+	id := r.request(0)
+	if len(r.sendsOf(id)) != 1 {
+		t.Error("a safe request behind unsafe ones is no trial")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -413,7 +413,7 @@
 			b.giveUp(now, r)
 		default:
 			kept = append(kept, r)
-			full = full || len(r.attempts) == 0 // no room for any that are not bound to a group
+			full = full || len(r.attempts) == 0 && !b.passes(r) // no room for any not bound to a group
 		}
 	}
 	b.held = kept
--- a/policy/state.go
+++ b/policy/state.go
@@ -409,6 +409,15 @@
 	return time.Duration(float64(d) * (0.8 + 0.4*b.rng.Float64()))
 }
 
+// passes tells that a request that found no server leaves room for others behind it: it
+// may be no trial, and a server awaits its. Else the most worthy ones, where these are
+// unsafe, would keep all servers half-open for good.
+func (b *Balancer) passes(r *request) bool {
+	return r.class.Effect == Unsafe && !b.allUnsafe && slices.ContainsFunc(b.ready, func(s *server) bool {
+		return s.breaker == halfOpen && s.trial == nil
+	})
+}
+
 func (b *Balancer) notClosed() (count int) {
 	for _, s := range b.ready {
 		if s.breaker != closed {
