--- a/internal/fleet/instance/processes_test.go
+++ b/internal/fleet/instance/processes_test.go
@@ -1,8 +1,14 @@
 package instance
 
 import (
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"testing"
+	"time"
+
+	"otterstep/internal/standin/sipua"
 )
 
 func TestLogsAreTrimmed(t *testing.T) {
@@ -25,3 +31,25 @@
 		t.Errorf("%v, %v: %v and %v", err1, err2, now, old)
 	}
 }
+
+// An instance with a SIP side is up only if that answers too.
+func TestUpAsksTheSIPSideToo(t *testing.T) {
+	up := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer up.Close()
+	deaf, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer deaf.Close()
+	desk, err := sipua.NewServer(sipua.Options{Transport: "udp", T1: 50 * time.Millisecond}, sipua.Answer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer desk.Close()
+	r := NewProcesses(t.TempDir(), nil)
+	for sip, want := range map[string]bool{"": true, "udp:" + desk.Addr(): true, "udp:" + deaf.LocalAddr().String(): false, "tcp:127.0.0.1:1": false} {
+		if got := r.Up(t.Context(), Spec{Listen: up.Listener.Addr().String(), SIP: sip}); got != want {
+			t.Errorf("with %q it is up: %v", sip, got)
+		}
+	}
+}
--- a/internal/sip/hard_test.go
+++ b/internal/sip/hard_test.go
@@ -806,3 +806,23 @@
 	d.await("the connection is held", func(v View) bool { return v.Connections == 0 })
 	one(t, d.caller.Send(sipua.Request{Method: "INVITE"}), 200)
 }
+
+// A REGISTER that failed at one server is tried at another only where the operator says
+// that servers drop its repeats; an OPTIONS always; anything else never.
+func TestRepeatsByClass(t *testing.T) {
+	for _, dropped := range []time.Duration{0, time.Minute} {
+		d := open(t, deskOptions{servers: 2, change: func(c *Config) { c.Class.Register.RepeatsDropped.Duration = dropped }})
+		for _, s := range d.servers {
+			for _, method := range []string{"REGISTER", "OPTIONS", "MESSAGE"} {
+				s.Answers(method, 500)
+			}
+		}
+		for method, want := range map[string]int{"REGISTER": map[bool]int{true: 2, false: 1}[dropped > 0], "OPTIONS": 2, "MESSAGE": 1} {
+			tx := d.caller.Send(sipua.Request{Method: method})
+			one(t, tx, 500)
+			if n := d.servers[0].Count(method, tx.CallID) + d.servers[1].Count(method, tx.CallID); n != want {
+				t.Errorf("%s went to %d servers, want %d (repeats dropped for %v)", method, n, want, dropped)
+			}
+		}
+	}
+}
--- a/internal/sip/proxy/bounds_test.go
+++ b/internal/sip/proxy/bounds_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -134,3 +135,28 @@
 		}
 	})
 }
+
+// A request without hops left ends here; one without the field gets 70.
+func TestHops(t *testing.T) {
+	w := newWorld(t, 1, 0)
+	quiet := &quietHost{world: w}
+	w.m.o.Host = quiet
+	for n, hops := range []string{"Max-Forwards: 0\r\n", "Max-Forwards: 1\r\n", ""} {
+		q, err := message.Parse(fmt.Appendf(nil, "INVITE sip:a@b SIP/2.0\r\nVia: SIP/2.0/UDP 10.0.0.1;branch=z9hG4bK%d\r\n%sFrom: <sip:a@b>;tag=t\r\nTo: <sip:a@b>\r\nCall-ID: hops%d\r\nCSeq: 1 INVITE\r\n\r\n", n, hops, n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.m.Receive(w.now, Peer{Transport: UDP, Addr: netip.MustParseAddrPort("127.0.0.8:5060")}, q, nil)
+		if n > 0 {
+			w.m.Attempt(w.now, w.m.lastID, uint64(n), 1, serverPeer(1), func() bool { return true })
+		}
+	}
+	var left []int
+	for _, b := range w.m.branches {
+		left = append(left, b.request.MaxForwards())
+	}
+	slices.Sort(left)
+	if w.m.counts.Finals[483] != 1 || !slices.Equal(left, []int{0, 70}) {
+		t.Errorf("finals %v, hops left %v", w.m.counts.Finals, left)
+	}
+}
