SIP: the operator's list is in place before calls; repeated requests end with what servers said

Change: Run places the list before it takes events, the Machine hears of servers before the pool; a refusal of what servers have answered is their answer.

--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -185,7 +185,7 @@
 	}
 	all.Go(func() { f.ping(ctx) })
 	if entries, addrs := f.config.entries(); len(entries) > 0 {
-		all.Go(func() { f.Members(policy.ListFull, entries, addrs) })
+		f.Members(policy.ListFull, entries, addrs)
 	}
 	f.log.Info("SIP is served", "listen", f.Listen(), "servers", f.config.Upstream.Transport)
 	f.run(ctx)
@@ -230,7 +230,7 @@
 
 // Members hands over the pool's list or changes to it, as core.Loop.Members does.
 func (f *Front) Members(kind policy.ListKind, entries []policy.Entry, addrs []string) {
-	f.loop.Members(kind, entries, addrs)
+	// The Machine first: dialogs begin where the loop sends.
 	f.post(func() {
 		if kind == policy.ListFull || kind == policy.ListCached {
 			clear(f.servers)
@@ -250,6 +250,7 @@
 		}
 		f.machine.Servers(list)
 	})
+	f.loop.Members(kind, entries, addrs)
 }
 
 // peer reads a server's address.
--- a/internal/sip/front_test.go
+++ b/internal/sip/front_test.go
@@ -18,7 +18,6 @@
 	"otterstep/internal/sip/transaction"
 	"otterstep/internal/standin/sipua"
 	"otterstep/internal/tomlfile"
-	"otterstep/policy"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -141,8 +140,7 @@
 	d.stop = func() { cancel(); <-ended }
 	d.t.Cleanup(d.stop)
 	d.front = f
-	entries, addrs := c.entries()
-	f.Members(policy.ListFull, entries, addrs) // once more, and waits until it is in place
+	d.await("the list is not in place", func(v View) bool { return v.Pool.Members == len(c.Servers) })
 }
 
 // view asks the front.
--- a/internal/sip/proxy/branch.go
+++ b/internal/sip/proxy/branch.go
@@ -158,6 +158,10 @@
 	}
 	switch a {
 	case AnswerRefused:
+		if x.best != nil && x.best.Code != 503 { // it may be repeated, and here is what servers say
+			m.conclude(now, x)
+			return
+		}
 		m.refused("no server")
 		m.respondWith(now, x, 503, max(retryAfter, m.o.RetryAfter))
 	case AnswerFailed:
