--- a/internal/sim/plain.go
+++ b/internal/sim/plain.go
@@ -38,7 +38,7 @@
 	byID    map[policy.ServerID]*plainServer
 	next    int
 	pending map[*try]*plainTry
-	timers  plainTimers
+	timers  events
 	made    uint64
 	out     []act
 }
@@ -56,32 +56,6 @@
 	answered bool
 }
 
-type plainTimer struct {
-	at    time.Duration
-	order uint64
-	do    func(now time.Duration)
-}
-
-type plainTimers []plainTimer
-
-func (h plainTimers) Len() int { return len(h) }
-func (h plainTimers) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
-}
-func (h plainTimers) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *plainTimers) Push(x any) { *h = append(*h, x.(plainTimer)) }
-
-// Pop implements heap.Interface.
-func (h *plainTimers) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = plainTimer{}
-	*h = old[:len(old)-1]
-	return last
-}
-
 // newBalancer makes what a policy's word names.
 func newBalancer(w *World, word string, rng *rand.Rand) (balancer, error) {
 	if word == "" || word == "ours" {
@@ -123,16 +97,16 @@
 	}
 }
 
-func (p *plain) after(at time.Duration, do func(now time.Duration)) {
+func (p *plain) after(at time.Duration, do func()) {
 	p.made++
-	heap.Push(&p.timers, plainTimer{at, p.made, do})
+	heap.Push(&p.timers, event{at, p.made, do})
 }
 
 func (p *plain) submit(now time.Duration, t *try) {
 	p.tokens = min(budgetMost, p.tokens+budgetShare)
 	q := &plainTry{}
 	p.pending[t] = q
-	p.after(t.deadline-4*time.Millisecond, func(time.Duration) { p.answer(t, q, core.Overdue) })
+	p.after(t.deadline-4*time.Millisecond, func() { p.answer(t, q, core.Overdue) })
 	p.send(now, t, q)
 }
 
@@ -166,7 +140,7 @@
 	if c.Effect != policy.Unsafe {
 		wait = min(wait, c.Deadline/time.Duration(p.world.settings.Limits.MaxAttempts))
 	}
-	p.after(now+wait, func(now time.Duration) { p.finished(now, a, policy.Timeout) })
+	p.after(now+wait, func() { p.finished(now+wait, a, policy.Timeout) })
 }
 
 func (p *plain) finished(now time.Duration, a *attempt, status policy.Status) {
@@ -258,7 +232,7 @@
 	if len(p.timers) == 0 || p.timers[0].at > now {
 		return false
 	}
-	heap.Pop(&p.timers).(plainTimer).do(now)
+	heap.Pop(&p.timers).(event).do()
 	return true
 }
 
--- a/internal/sip/proxy/branch.go
+++ b/internal/sip/proxy/branch.go
@@ -382,9 +382,7 @@
 		return
 	}
 	if !x.cancelled && (x.best == nil || r.Code < x.best.Code) {
-		r.Drop("via")
-		r.Fields = append(append(make([]message.Field, 0, len(r.Fields)+len(b.vias)), b.vias...), r.Fields...)
-		x.best = r
+		x.best = b.own(r)
 	}
 	m.over(now, x, e)
 }
--- a/internal/sip/proxy/exchange.go
+++ b/internal/sip/proxy/exchange.go
@@ -176,12 +176,17 @@
 	m.settle(x)
 }
 
-// forward passes a server's response on: the caller's own Vias are put back whatever
-// the server made of them.
+// forward passes a server's response on.
 func (m *Machine) forward(now time.Duration, x *exchange, b *branch, r *message.Message) {
+	m.respond(now, x, b.own(r))
+}
+
+// own puts the caller's own Vias back into a server's response, whatever the server made
+// of them.
+func (b *branch) own(r *message.Message) *message.Message {
 	r.Drop("via")
 	r.Fields = append(append(make([]message.Field, 0, len(r.Fields)+len(b.vias)), b.vias...), r.Fields...)
-	m.respond(now, x, r)
+	return r
 }
 
 // cancel is the caller's CANCEL (RFC 3261 section 16.10).
