--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -122,10 +122,9 @@
 			t.Errorf("%s: %v, %q", rule, r.Broken, r.First)
 		}
 	}
-	// A server that drains and still gets work, and one that is cold and gets all of it.
+	// A server that drains and still gets work.
 	w, err := New(small(func(o *Options) {
 		o.Faults = []Fault{{At: 2 * time.Second, What: "drain", Servers: []int{0}}}
-		o.Servers[1].Entry.Started = time.Hour
 	}), 1)
 	if err != nil {
 		t.Fatal(err)
@@ -136,6 +135,20 @@
 	}
 }
 
+// A cold server that gets as much as the warm ones is pushed over, which the ledger sees;
+// the module sends it its part only.
+func TestColdServersPushedOverAreSeen(t *testing.T) {
+	for word, pushed := range map[string]bool{"random": true, "ours": false} {
+		r := run(t, small(func(o *Options) {
+			o.Policy, o.Load.Rate = word, 600
+			o.Servers[1].Entry.Started = time.Hour // the simulation's start
+		}), 1)
+		if got := r.Broken["a cold server was pushed over"] > 0; got != pushed {
+			t.Errorf("%s: broken %v", word, r.Broken)
+		}
+	}
+}
+
 func TestImpossibleFaults(t *testing.T) {
 	for _, f := range []Fault{{What: "nonsense"}, {What: "hang", Servers: []int{6}}, {What: "node-crash", Servers: []int{2}}} {
 		if _, err := New(small(func(o *Options) { o.Faults = []Fault{f} }), 1); err == nil {
