--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -56,7 +56,7 @@
 		ColdMs, FallMs, MustAskInMs ms
 	}
 	CountedBy  string
-	Deductions struct{ Waste, LateFail float64 }
+	Deductions struct{ Waste, LateFail, CrossZone float64 }
 	Extra      struct{ WarmKeys bool }
 	Limits     struct {
 		Cancel, RetryAfter, SecondCopies bool
@@ -132,7 +132,7 @@
 	set(&s.Limits.MaxAttempts, j.Limits.MaxAttempts)
 	set(&s.Rules.ColdFrom, j.Contract.ColdFrom)
 	set(&s.Rules.FallMultiple, j.Contract.FallMultiple)
-	s.Prices = policy.Prices{Waste: j.Deductions.Waste, LateFail: j.Deductions.LateFail}
+	s.Prices = policy.Prices{Waste: j.Deductions.Waste, LateFail: j.Deductions.LateFail, CrossZone: j.Deductions.CrossZone}
 	s.Zone = j.Locality
 	s.WarmKeys = j.Extra.WarmKeys
 	s.WorthByWork = j.CountedBy == "work"
--- a/policy/api.go
+++ b/policy/api.go
@@ -77,6 +77,8 @@
 type Prices struct {
 	Waste    float64 // for work that served nothing, as much as all that was asked for
 	LateFail float64 // for all requests failing after their aim
+	// CrossZone is for as many attempts in other zones than the node's as there are requests.
+	CrossZone float64
 }
 
 // Settings is what an instance is told at its start.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,7 +16,8 @@
 	priorOutcomes  = 3.0              // weight of the fleet's mean beside a server's own outcomes
 	successPart    = 0.7              // of the score
 	latencyPart    = 0.3              // of the score
-	nearTie        = 0.1              // scores this close go by own requests in flight
+	nearTie        = 0.1              // scores this close go by own work in flight
+	farGain        = 0.3              // by which a score must be better in another zone, where crossing has a price
 	failuresToOpen = 5                // consecutive failures that open a breaker
 	failuresFor    = 60 * time.Second // and the window that they must fall in
 	openFirst      = 2 * time.Second  // an open breaker turns half-open after this,
@@ -182,6 +183,7 @@
 	rounds := seconds / b.typical // answers come back once a round; faster steps would swing
 	b.steered = now
 	excess := b.crowding - crowdingAim
+	defer func() { b.crossed = false }()
 	switch {
 	case excess > 0 && !b.crowded: // the start's fast growth went too far
 		b.crowded, b.limit, b.limitKnown = true, 0.6*b.limit, 0.6*b.limit
@@ -189,12 +191,14 @@
 		least := max(1/float64(b.set.Nodes), 0.9*b.limitKnown)
 		b.limit = max(least, b.limit*(1-limitDown*min(excess, 0.2)*rounds))
 		b.limitKnown *= 1 - seconds/limitFor
-	case len(b.held) > 0 && b.loneSeen >= loneNeeded:
+	case (len(b.held) > 0 || b.crossed) && b.loneSeen >= loneNeeded:
 		if !b.crowded {
 			rounds *= startFaster
 		}
 		b.limit *= 1 + limitUp*rounds
-		b.limitKnown = max(b.limitKnown, b.limit)
+		if len(b.held) > 0 { // else servers of other zones have room, and nothing is known of a full fleet
+			b.limitKnown = max(b.limitKnown, b.limit)
+		}
 	}
 }
 
@@ -233,7 +237,7 @@
 // room tells whether a server is below the bound on own requests in flight. A server's own part of
 // a whole decides the rounding, so that a limit of 1.4 is 2 at two servers of five.
 func (b *Balancer) room(s *server, now time.Duration) bool {
-	bound := max(1, math.Floor(b.limit+s.rounding)*b.coldShare(s, now))
+	bound := max(1, math.Floor(b.limit*s.size+s.rounding)*b.coldShare(s, now))
 	return now >= s.fullUntil && (b.thin() || float64(len(s.out)+1) <= bound)
 }
 
@@ -306,6 +310,9 @@
 			return s
 		}
 	}
+	if b.set.Prices.CrossZone > 0 {
+		b.stayNear()
+	}
 	n := len(b.choices)
 	if n == 0 || !b.thin() && out >= max(1, int(b.limit*float64(servers))) {
 		return nil
@@ -329,14 +336,35 @@
 	return best
 }
 
-// better compares by score; near-ties go to fewer own requests in flight, equal ones to the own zone.
+// stayNear leaves only servers of the own zone to choose from, if one of them has room: crossing has a
+// price. Those that fail or are slow are left for others all the same.
+func (b *Balancer) stayNear() {
+	best := 0.0
+	for _, s := range b.choices {
+		best = max(best, s.score)
+	}
+	near := b.near[:0]
+	for _, s := range b.choices {
+		if s.near && s.score >= best-farGain {
+			near = append(near, s)
+		}
+	}
+	if b.near = near; len(near) > 0 {
+		b.choices, b.near = near, b.choices
+	} else if len(b.choices) > 0 {
+		b.crossed = true
+	}
+}
+
+// better compares by score; near-ties go to less own work in flight for the server's size, equal ones
+// to the own zone.
 func better(x, y *server) *server {
 	switch {
 	case x.score > y.score+nearTie:
 		return x
-	case y.score > x.score+nearTie || len(y.out) < len(x.out):
+	case y.score > x.score+nearTie || y.load*x.size < x.load*y.size:
 		return y
-	case len(y.out) == len(x.out) && y.near && !x.near:
+	case y.load*x.size == x.load*y.size && y.near && !x.near:
 		return y
 	}
 	return x
@@ -483,6 +511,9 @@
 		b.failed(now, a, false)
 	case Timeout:
 		// Impatient clients make short time-outs, which say nothing of the server.
+		if s.answeredAt > a.sent && b.overran(a, r, o.Latency.Seconds()) && !b.thin() {
+			b.steer(now)
+		}
 		if latency > b.meanLatency*silentAfter {
 			s.record(now, false, latency)
 			if !a.silent {
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -78,6 +78,8 @@
 		return bad("Prices.Waste", s.Prices.Waste)
 	case !number(s.Prices.LateFail, 0):
 		return bad("Prices.LateFail", s.Prices.LateFail)
+	case !number(s.Prices.CrossZone, 0):
+		return bad("Prices.CrossZone", s.Prices.CrossZone)
 	case s.Limits.MaxAttempts < 1:
 		return bad("Limits.MaxAttempts", s.Limits.MaxAttempts)
 	case s.Limits.MaxRetryAfter < 0:
--- a/policy/state.go
+++ b/policy/state.go
@@ -46,7 +46,9 @@
 	success    float64
 	latency    float64
 
+	size      float64    // its weight over the mean of the ready servers; 1 where unknown
 	out       []*attempt // own attempts in flight, oldest first
+	load      float64    // their work
 	rounding  float64    // in [0,1): see bound
 	lone      float64    // mean latency, as a logarithm, of attempts sent while no other was out
 	loneSeen  float64
@@ -82,6 +84,7 @@
 	sent       time.Duration
 	out        bool
 	neverRan   bool
+	work       float64
 	lone       bool // no other attempt of ours was out at the server
 	silent     bool // counted as a failure for its silence
 }
@@ -144,6 +147,8 @@
 	weight  float64   // mean of the ready servers
 	usable  int       // closed or awaiting a trial, as of the last refresh
 	choices []*server
+	near    []*server          // scratch space of stayNear
+	crossed bool               // a request went to another zone for want of room, since the bound was moved
 	keys    map[uint64]*server // who served a key last
 
 	requests map[RequestID]*request
@@ -241,7 +246,7 @@
 			s = &server{rounding: b.rng.Float64(), openFor: openFirst}
 			b.servers[e.Server] = s
 		} else if e.Started != s.Started {
-			*s = server{Entry: s.Entry, rounding: s.rounding, openFor: openFirst, out: s.out}
+			*s = server{Entry: s.Entry, rounding: s.rounding, openFor: openFirst, out: s.out, load: s.load}
 		}
 		listed := s.State == Ready
 		s.Entry = e
@@ -260,6 +265,11 @@
 	}
 	b.ready = kept
 	b.weight /= float64(max(1, len(kept)))
+	for _, s := range kept {
+		if s.size = 1; s.Weight > 0 {
+			s.size = s.Weight / b.weight
+		}
+	}
 	for id, s := range b.servers {
 		if s.State == Gone && len(s.out) == 0 {
 			delete(b.servers, id)
@@ -303,13 +313,14 @@
 // begin puts a new attempt on the books.
 func (b *Balancer) begin(now time.Duration, r *request, s *server) *attempt {
 	r.attempts = append(r.attempts, attempt{
-		server: s, request: r, zone: s.Zone, cell: s.Cell, sent: now, out: true,
+		server: s, request: r, zone: s.Zone, cell: s.Cell, sent: now, out: true, work: b.loneLatency(r),
 		lone: len(s.out) == 0 && b.out*b.set.Nodes <= 3*len(b.ready),
 	})
 	a := &r.attempts[len(r.attempts)-1]
 	r.out++
 	b.out++
 	s.out = append(s.out, a)
+	s.load += a.work
 	return a
 }
 
@@ -333,6 +344,9 @@
 func (b *Balancer) unload(a *attempt) {
 	if i := slices.Index(a.server.out, a); i >= 0 {
 		a.server.out = slices.Delete(a.server.out, i, i+1)
+		if a.server.load -= a.work; len(a.server.out) == 0 {
+			a.server.load = 0 // what rounding left over
+		}
 		b.out--
 	}
 }
@@ -459,6 +473,22 @@
 	return true
 }
 
+// overran takes in an attempt that was given up at a server which answers others: it would have taken
+// longer still. Without this a node whose requests nearly all end so would hear only from the few that
+// don't, and go on crowding its servers.
+func (b *Balancer) overran(a *attempt, r *request, latency float64) bool {
+	s, c := a.server, r.class
+	if c.yardstick == 0 || s.loneSeen == 0 {
+		return false
+	}
+	excess := math.Log(max(latency, 1e-4)/(c.yardstick*r.size())) - s.lone
+	if excess <= b.crowding { // an impatient client's says nothing
+		return false
+	}
+	b.crowding += (excess - b.crowding) / 64
+	return true
+}
+
 // remember notes who served a key last. The notes stay few: they soon lose their use.
 func (b *Balancer) remember(key uint64, s *server) {
 	if len(b.keys) >= 4096 {
