Module: cold servers earn work by what they serve; shared faults end together; samples of many

Cold restart of a whole tier: with nobody warm to compare with, nodes kept to an equal part of what is asked for and refused 15%. A retry storm's refusals end a second after the fault: while most breakers are open a trial that succeeds brings the others' forward.

--- /dev/null
+++ b/policy/cold_test.go
@@ -0,0 +1,120 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against pushing a server over that several nodes find out about on their own: a
+// plain model of one cold server, whose size nobody is told, and nodes that send whatever
+// their gates let through. In no window may the work sent exceed the multiple of what the
+// server can do in it; and it must be found out in a few seconds, however large it is.
+func TestColdServersEarnNoMoreThanTheyBear(t *testing.T) {
+	const tick, work = 2 * ms, 0.02 // seconds of work of a request
+	for _, size := range []float64{0.5, 2, 8, 32} {
+		set := testSettings()
+		set.Rules.FallMultiple, set.Nodes = 2, 3
+		rules := set.Rules
+		var nodes []*rig
+		for seed := range set.Nodes {
+			h := newHost()
+			b, err := New(set, uint64(seed), h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := &rig{t: t, b: b, h: h, now: time.Hour, done: map[RequestID]int{}}
+			e := ready(1, 4)
+			for i := range e {
+				e[i].Started = r.now
+			}
+			r.list(ListFull, e...)
+			b.classes[0].lone, b.limit = work-0.001, 1000
+			nodes = append(nodes, r)
+		}
+		type job struct {
+			node *rig
+			id   RequestID
+			at   time.Duration
+			left float64
+		}
+		var queue []job
+		var sent, could []float64 // by tick
+		full := time.Duration(0)
+		for now := time.Hour; now < time.Hour+rules.ColdFor; now += tick {
+			share := rules.ColdFrom + (1-rules.ColdFrom)*(now-time.Hour).Seconds()/rules.ColdFor.Seconds()
+			able := size * share * tick.Seconds()
+			could, sent = append(could, able), append(sent, 0)
+			for able > 0 && len(queue) > 0 {
+				j := &queue[0]
+				done := min(able, j.left)
+				able -= done
+				if j.left -= done; j.left <= 1e-12 {
+					j.node.now = now
+					j.node.end(j.id, OK, now-j.at)
+					queue = queue[1:]
+				}
+			}
+			for _, r := range nodes {
+				r.now = now
+				// What is asked for: a tenth of what the servers could do.
+				r.b.demand.add(now, 0.1*size*4/float64(set.Nodes)*tick.Seconds())
+				for range 200 {
+					r.next++
+					q := r.b.newRequest(Request{ID: r.next, Left: time.Hour}, &r.b.classes[0])
+					q.end = now + time.Hour
+					s := r.b.servers[1]
+					if !r.b.maySend(now, q, s) {
+						r.b.close(q)
+						break
+					}
+					r.b.send(now, q, s)
+					queue = append(queue, job{r, q.ID, now, work})
+					sent[len(sent)-1] += work
+				}
+			}
+			if full == 0 && able <= 0 {
+				full = now - time.Hour
+			}
+		}
+		window := int(rules.FallFor / tick)
+		for from := 0; from+window <= len(sent); from++ {
+			s, c := 0.0, 0.0
+			for i := from; i < from+window; i++ {
+				s += sent[i]
+				c += could[i]
+			}
+			// Each node begins with a request or two, before it knows anything.
+			if slack := float64(set.Nodes) * 2 * work; s > rules.FallMultiple*c+slack {
+				t.Fatalf("size %v: sent %.3f in a window that begins at %v, could %.3f", size, s, time.Duration(from)*tick, c)
+			}
+		}
+		if full == 0 || full > 8*time.Second {
+			t.Errorf("size %v: found out after %v", size, full)
+		}
+	}
+}
+
+// Guards against breakers that stay open for long after a fault of all servers has passed.
+func TestSharedFaultsEndTogether(t *testing.T) {
+	for _, failing := range []int{10, 4} { // of ten
+		r := newRig(t, testSettings(), 10)
+		for _, s := range r.b.ready[:failing] {
+			for range failuresToOpen {
+				r.b.failed(r.now, &attempt{server: s}, false)
+			}
+			s.openFor, s.reopenAt = openMost, r.now+openMost
+		}
+		first := r.b.ready[0]
+		first.breaker, first.trial = halfOpen, &attempt{server: first}
+		r.b.succeeded(r.now, first.trial)
+		soon := 0
+		for _, s := range r.b.opened {
+			if s.reopenAt <= r.now+openFirst {
+				soon++
+			}
+		}
+		if want := map[int]int{10: 9, 4: 0}[failing]; soon != want || len(r.b.opened) != failing-1 {
+			t.Errorf("%d of ten failed: %d trials come soon, want %d; %d are out", failing, soon, want, len(r.b.opened))
+		}
+	}
+}
--- a/policy/parked_test.go
+++ b/policy/parked_test.go
@@ -72,6 +72,7 @@
 	for id := range r.b.servers {
 		r.b.servers[id].breaker, r.b.servers[id].reopenAt = open, r.now+ms
 	}
+	r.b.opened = append(r.b.opened, r.b.ready...)
 	r.now += 10 * ms
 	before := len(r.h.sends)
 	for range 3 {
--- a/policy/pick.go
+++ b/policy/pick.go
@@ -57,25 +57,32 @@
 // is one of the two.
 func (b *Balancer) pick(now time.Duration, r *request) *server {
 	b.refresh(now)
+	for _, s := range b.opened {
+		if s.breaker == halfOpen && s.trial == nil && (r.class.Effect != Unsafe || b.allUnsafe) &&
+			!r.tried(s) && b.maySend(now, r, s) {
+			return s
+		}
+	}
+	if !b.thin() && b.full() {
+		return nil
+	}
 	b.choices = b.choices[:0]
-	out, servers := 0, 0
-	for _, s := range b.ready {
-		if s.breaker == closed {
-			out += len(s.out)
-			servers++
+	if b.large() {
+		for range sampleOf {
+			b.consider(now, r, b.ready[b.rng.IntN(len(b.ready))])
 		}
-		if s.breaker == open || r.tried(s) || !b.maySend(now, r, s) {
-			continue
+		if warm := b.keys[r.Key]; b.set.WarmKeys && r.Key != 0 && warm != nil {
+			b.consider(now, r, warm)
 		}
-		if s.breaker == closed && b.room(s, now) {
-			b.choices = append(b.choices, s)
-		} else if s.breaker == halfOpen && s.trial == nil && (r.class.Effect != Unsafe || b.allUnsafe) {
-			return s
+	}
+	if len(b.choices) == 0 {
+		for _, s := range b.ready {
+			b.consider(now, r, s)
 		}
 	}
 	b.suit(now, r)
 	n := len(b.choices)
-	if n == 0 || !b.thin() && out >= max(1, int(b.limit*float64(servers))) {
+	if n == 0 {
 		return nil
 	}
 	if len(r.attempts) == 0 && n > 2 {
@@ -97,6 +104,35 @@
 	return best
 }
 
+// full tells that as many attempts are in flight at closed servers as the bound allows in all.
+func (b *Balancer) full() bool {
+	out := 0
+	if b.large() {
+		out = b.out
+		for _, s := range b.opened {
+			out -= len(s.out)
+		}
+	} else {
+		for _, s := range b.ready {
+			if s.breaker == closed {
+				out += len(s.out)
+			}
+		}
+	}
+	return out >= max(1, int(b.limit*float64(len(b.ready)-len(b.opened))))
+}
+
+// consider makes a server one of the choices, if an attempt may go there now.
+func (b *Balancer) consider(now time.Duration, r *request, s *server) {
+	if s.breaker == closed && !r.tried(s) && b.room(s, now) && b.maySend(now, r, s) {
+		if b.large() { // the last look at all is a while ago
+			b.gauge(now, s)
+			b.rate(s)
+		}
+		b.choices = append(b.choices, s)
+	}
+}
+
 // narrow leaves those of the choices that pass, if there are any; false if there are none.
 func (b *Balancer) narrow(pass func(*server) bool) bool {
 	b.passing = b.passing[:0]
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,12 +40,19 @@
 	shedRate       = 2.0              // fall of the admitted share a second, for each unit of excess
 	admitRate      = 0.5              // and its growth, for each unit of slack
 	admitLeast     = 0.05             // stays admitted to see a recovery, yet lets choked servers rest
-	coldSafety     = 0.75             // of the multiple that pushes cold servers over; thin: twice
+	earnedMost     = 1.0 / 3          // of what they get done in FallFor: saved up at most
+	earnedLeast    = 2.0              // or so many requests
+	coldSafety     = 0.75             // of the multiple that pushes cold servers over
+	scanMost       = 64               // servers: of more, a few at random stand for all
+	sampleOf       = 24               // so many for a pick
 	sweepEvery     = 10 * time.Millisecond
 	watchAgain     = 500 * time.Millisecond
 	attemptsMost   = 16 // whatever the settings allow
 )
 
+// scanPer times the number of servers is how often all of many are looked at.
+const scanPer = 100 * time.Microsecond
+
 // ---- the list of servers
 
 // Members follows the server list. Where it must be asked for, it is watched from
@@ -81,7 +88,8 @@
 // fall over. A warm server's part is the smaller of what warm peers are sent and of
 // an equal split of all that is asked for (while most of the fleet restarts). The
 // part is saved up, from a random start, until a request is covered whole: hundreds
-// of nodes that each sent just one at once would push the server over.
+// of nodes that each sent just one at once would push the server over. What a server has earned counts
+// instead where it is more.
 func (b *Balancer) coldBudget(s *server, now time.Duration, work float64) bool {
 	share := b.coldShare(s, now)
 	if share >= 1 {
@@ -101,9 +109,21 @@
 	}
 	rate := part * b.set.Rules.FallMultiple * share * coldSafety
 	most := max(6*work, rate*b.set.Rules.FallFor.Seconds())
-	s.coldSaved = min(s.coldSaved+rate*(now-s.coldAt).Seconds(), most)
+	s.coldSaved = max(min(s.coldSaved+rate*(now-s.coldAt).Seconds(), most), -most)
 	s.coldAt = now
-	return s.coldSaved >= work
+	return s.coldSaved >= work || s.earned >= work
+}
+
+// earn gives a cold server that served a request the right to more: the multiple of what it gets done.
+// All nodes together then send it no more than the multiple of what it can do, however large it is, and
+// a tier that starts as a whole, with nobody to compare with, is found out as fast as it answers.
+func (b *Balancer) earn(now time.Duration, a *attempt) {
+	s := a.server
+	if s.done.add(now, a.work); b.thin() || b.coldShare(s, now) >= 1 {
+		return
+	}
+	most := max(earnedLeast*a.work, s.done.perSecond(now)*b.set.Rules.FallFor.Seconds()*earnedMost)
+	s.earned = min(s.earned+a.work*b.set.Rules.FallMultiple*coldSafety, most)
 }
 
 // ---- health
@@ -111,36 +131,57 @@
 // refresh updates the scores: 0.7 x success + 0.3 x (1 - latency / the highest). Servers without
 // outcomes stand at the mean. An attempt in flight counts by its age: silence lowers the score early.
 func (b *Balancer) refresh(now time.Duration) {
-	if b.refreshed == now {
+	soon := b.large() && now-b.refreshed < time.Duration(len(b.ready))*scanPer
+	if b.refreshed == now || b.refreshed >= 0 && soon {
+		b.reopen(now)
 		return
 	}
 	b.refreshed = now
 	b.tally(now)
-	b.usable = 0
-	highest := 0.0
+	b.reopen(now)
+	b.highest = 0
 	for _, s := range b.ready {
-		s.success = (float64(s.good) + priorOutcomes*b.meanSuccess) / (float64(s.kept) + priorOutcomes)
-		s.latency = (s.latencySum + priorOutcomes*b.meanLatency) / (float64(s.good) + priorOutcomes)
-		if len(s.out) > 0 {
-			oldest := s.out[0]
-			age := (now - oldest.sent).Seconds() / b.loneLatency(oldest.request)
-			s.latency = max(s.latency, age)
+		b.gauge(now, s)
+		if s.breaker == closed {
+			b.highest = max(b.highest, s.latency)
 		}
+	}
+	for _, s := range b.ready {
+		b.rate(s)
+	}
+}
+
+// gauge finds a server's success and latency as of now, and rate its score by them.
+func (b *Balancer) gauge(now time.Duration, s *server) {
+	s.success = (float64(s.good) + priorOutcomes*b.meanSuccess) / (float64(s.kept) + priorOutcomes)
+	s.latency = (s.latencySum + priorOutcomes*b.meanLatency) / (float64(s.good) + priorOutcomes)
+	if len(s.out) > 0 {
+		oldest := s.out[0]
+		age := (now - oldest.sent).Seconds() / b.loneLatency(oldest.request)
+		s.latency = max(s.latency, age)
+	}
+}
+
+func (b *Balancer) rate(s *server) {
+	s.score = successPart*s.success + latencyPart*(1-s.latency/max(b.highest, s.latency, 1e-9))
+}
+
+// reopen turns open breakers half-open when their time has come, and counts the usable servers.
+func (b *Balancer) reopen(now time.Duration) {
+	b.usable = len(b.ready) - len(b.opened)
+	for _, s := range b.opened {
 		if s.breaker == open && now >= s.reopenAt {
 			s.breaker, s.trial = halfOpen, nil
 		}
-		if s.breaker == closed {
-			highest = max(highest, s.latency)
-			b.usable++
-		} else if s.breaker == halfOpen && s.trial == nil {
+		if s.breaker == halfOpen && s.trial == nil {
 			b.usable++
 		}
 	}
-	for _, s := range b.ready {
-		s.score = successPart*s.success + latencyPart*(1-s.latency/max(highest, s.latency, 1e-9))
-	}
 }
 
+// large tells that there are too many servers to look at all of them for each event.
+func (b *Balancer) large() bool { return len(b.ready) > scanMost }
+
 // failed counts a failure towards opening the breaker. One that may be slowness alone opens it
 // only while fewer than half of the servers are out: when all are slow, that would refuse all.
 func (b *Balancer) failed(now time.Duration, a *attempt, slowness bool) {
@@ -154,20 +195,34 @@
 		s.openFor = min(2*s.openFor, openMost)
 	case s.breaker != closed || len(s.failures) < failuresToOpen:
 		return
-	case slowness && 2*(b.notClosed()+1) > len(b.ready):
+	case slowness && 2*(len(b.opened)+1) > len(b.ready):
 		return
 	}
+	if s.breaker == closed && s.State == Ready {
+		b.opened = append(b.opened, s)
+	}
 	s.breaker, s.trial = open, nil
 	s.reopenAt = now + b.jitter(s.openFor)
 }
 
 // succeeded closes the breaker. An answer to an older attempt lets an open one's trial come at once.
-func (s *server) succeeded(now time.Duration, a *attempt) {
+// While most servers are out, what ails them is shared, and a trial that succeeds says that it passes:
+// the others' trials come soon as well, each at its own time.
+func (b *Balancer) succeeded(now time.Duration, a *attempt) {
+	s := a.server
 	s.failures = s.failures[:0]
 	s.answeredAt = now
 	switch {
 	case s.breaker == halfOpen && s.trial == a:
+		shared := 2*len(b.opened) > len(b.ready)
 		s.breaker, s.trial, s.openFor = closed, nil, openFirst
+		b.opened = slices.DeleteFunc(b.opened, func(o *server) bool { return o == s })
+		for _, o := range b.opened {
+			if shared && o.breaker == open {
+				o.openFor = openFirst
+				o.reopenAt = min(o.reopenAt, now+time.Duration(b.rng.Float64()*float64(openFirst)))
+			}
+		}
 	case s.breaker == open:
 		s.reopenAt = now
 	}
@@ -257,6 +312,7 @@
 	work := b.loneLatency(r)
 	s.rate.add(now, work)
 	s.coldSaved -= work
+	s.earned = max(0, s.earned-work)
 	b.host.Send(r.ID, s.Server, 0)
 }
 
@@ -338,7 +394,7 @@
 // retryAfter is the time until the next trial, or some to let a crowd pass.
 func (b *Balancer) retryAfter(now time.Duration, r *request) time.Duration {
 	wait := min(r.class.Aim/2, b.set.Limits.MaxRetryAfter)
-	for _, s := range b.ready {
+	for _, s := range b.opened {
 		if s.breaker == open {
 			wait = min(wait, max(0, s.reopenAt-now))
 		}
@@ -379,7 +435,8 @@
 	switch o.Status {
 	case OK:
 		s.record(now, true, latency)
-		s.succeeded(now, a)
+		b.earn(now, a)
+		b.succeeded(now, a)
 		b.remember(r.Key, s)
 		if b.measure(a, r, o.Latency.Seconds()) && !b.thin() {
 			b.steer(now)
--- a/policy/state.go
+++ b/policy/state.go
@@ -55,6 +55,8 @@
 	fullUntil time.Duration // it turned a request away as full
 
 	rate      meter   // work sent to it
+	done      meter   // work that it has served
+	earned    float64 // work that it may be sent while it is cold, by what it served
 	coldSaved float64 // work that it may be sent while it is cold, as of coldAt
 	coldAt    time.Duration
 }
@@ -144,6 +146,7 @@
 
 	servers map[ServerID]*server
 	ready   []*server // listed as ready, in the order of the list
+	opened  []*server // of these, those whose breaker is not closed
 	weight  float64   // mean of the ready servers
 	usable  int       // closed or awaiting a trial, as of the last refresh
 	choices []*server
@@ -160,6 +163,7 @@
 	refreshed   time.Duration
 	meanSuccess float64
 	meanLatency float64 // multiple of a lone request's
+	highest     float64 // latency of a closed server, as of the last refresh
 	demand      meter   // work asked for
 	warm        int     // warm servers whose breaker is closed, as of the last refresh
 	warmRate    float64 // work a second sent to them
@@ -265,7 +269,11 @@
 	}
 	b.ready = kept
 	b.weight /= float64(max(1, len(kept)))
+	b.opened = b.opened[:0]
 	for _, s := range kept {
+		if s.breaker != closed {
+			b.opened = append(b.opened, s)
+		}
 		if s.size = 1; s.Weight > 0 {
 			s.size = s.Weight / b.weight
 		}
@@ -427,20 +435,11 @@
 // may be no trial, and a server awaits its. Else the most worthy ones, where these are
 // unsafe, would keep all servers half-open for good.
 func (b *Balancer) passes(r *request) bool {
-	return r.class.Effect == Unsafe && !b.allUnsafe && slices.ContainsFunc(b.ready, func(s *server) bool {
+	return r.class.Effect == Unsafe && !b.allUnsafe && slices.ContainsFunc(b.opened, func(s *server) bool {
 		return s.breaker == halfOpen && s.trial == nil
 	})
 }
 
-func (b *Balancer) notClosed() (count int) {
-	for _, s := range b.ready {
-		if s.breaker != closed {
-			count++
-		}
-	}
-	return count
-}
-
 // measure takes in how long a served request took, compared to lone ones of its
 // class at its server; false while these are not known.
 func (b *Balancer) measure(a *attempt, r *request, latency float64) bool {
@@ -562,7 +561,7 @@
 		b.unload(a)
 		b.dispatch(now)
 	} else {
-		a.server.succeeded(now, a)
+		b.succeeded(now, a)
 	}
 	b.cancel(r, a)
 }
