--- a/policy/pick.go
+++ b/policy/pick.go
@@ -3,7 +3,6 @@
 // Which server gets an attempt.
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -148,8 +147,9 @@
 	return true
 }
 
-// suit leaves the choices that suit the request: those at which its size lets it be in time, and of
-// these, where crossing has a price, those of the own zone that are not much worse than the rest.
+// suit leaves the choices that suit the request: those at which its size lets it be in time, for an
+// unsafe one, which has one attempt, those that succeed most, and of these, where crossing has a price,
+// those of the own zone that are not much worse than the rest nor fail more often than crossing is worth.
 func (b *Balancer) suit(now time.Duration, r *request) {
 	if len(b.choices) == 0 {
 		return
@@ -158,10 +158,16 @@
 		left, lone := (r.useful - now).Seconds(), b.loneLatency(r)
 		b.narrow(func(s *server) bool { return s.latency*lone <= left })
 	}
-	if b.set.Prices.CrossZone > 0 {
-		byScore := func(x, y *server) int { return cmp.Compare(x.score, y.score) }
-		best := slices.MaxFunc(b.choices, byScore).score
-		if !b.narrow(func(s *server) bool { return s.near && s.score >= best-farGain }) {
+	success, score := 0.0, 0.0
+	for _, s := range b.choices {
+		success, score = max(success, s.success), max(score, s.score)
+	}
+	if r.class.Effect == Unsafe {
+		b.narrow(func(s *server) bool { return s.success >= success-unsafeGain })
+	}
+	if price := b.set.Prices.CrossZone; price > 0 {
+		well := func(s *server) bool { return s.score >= score-farGain && s.success >= success-price }
+		if !b.narrow(func(s *server) bool { return s.near && well(s) }) {
 			b.crossed = true
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,6 +18,7 @@
 	latencyPart    = 0.3              // of the score
 	nearTie        = 0.1              // scores this close go by own work in flight
 	farGain        = 0.3              // by which scores must be better in other zones, if crossing costs
+	unsafeGain     = 0.05             // by which more must succeed elsewhere for unsafe requests to go there
 	failuresToOpen = 5                // consecutive failures that open a breaker
 	failuresFor    = 60 * time.Second // and the window that they must fall in
 	openFirst      = 2 * time.Second  // an open breaker turns half-open after this,
