Simulation: nodes stand in zones by turns; plots with room for their legends

Looked at as pictures, the work of servers alternated: all nodes stood in zone 0, so that ties went there.

--- a/internal/experiment/report/plots.go
+++ b/internal/experiment/report/plots.go
@@ -138,7 +138,7 @@
 	if most == 0 {
 		most = math.Max(seen, 1)
 	}
-	p.Y.Max = most * 1.25 // room for the legend
+	p.Y.Max = most * 1.5 // room for the legend
 	for _, f := range x.File.Fault {
 		end := p.X.Max
 		if f.For.Duration > 0 {
@@ -172,7 +172,7 @@
 	}
 	bars.Color, bars.LineStyle.Width = green, 0
 	p.Add(plotter.NewGrid(), bars)
-	p.Y.Min = 0
+	p.Y.Min, p.Y.Max = 0, math.Max(0.01, 1.1*slices.Max(values))
 	p.X.Min, p.X.Max = -0.7, float64(len(values))-0.3
 	return p, nil
 }
--- a/internal/sim/balancer.go
+++ b/internal/sim/balancer.go
@@ -50,8 +50,10 @@
 	waiting map[*core.Pending]*try
 }
 
-func newOurs(w *World, seed uint64) (*ours, error) {
-	m, err := core.NewMachine(w.settings, seed)
+func newOurs(w *World, zone int, seed uint64) (*ours, error) {
+	set := w.settings
+	set.Zone = zone
+	m, err := core.NewMachine(set, seed)
 	return &ours{m, w, map[*core.Pending]*try{}}, err
 }
 
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -39,7 +39,7 @@
 
 // start makes the node's balancer anew, as a process that knows nothing.
 func (n *node) start() error {
-	b, err := newBalancer(n.world, n.world.opt.Policy, n.rng)
+	b, err := newBalancer(n.world, n.world.opt.Policy, n.index%n.world.zones, n.rng)
 	n.decides, n.wake, n.down, n.watches = b, 0, false, false
 	n.drained, n.open = map[policy.ServerID]time.Duration{}, map[*try]bool{}
 	n.life++
--- a/internal/sim/plain.go
+++ b/internal/sim/plain.go
@@ -57,10 +57,10 @@
 	answered bool
 }
 
-// newBalancer makes what a policy's word names.
-func newBalancer(w *World, word string, rng *rand.Rand) (balancer, error) {
+// newBalancer makes what a policy's word names, for a node in a zone.
+func newBalancer(w *World, word string, zone int, rng *rand.Rand) (balancer, error) {
 	if word == "" || word == "ours" {
-		return newOurs(w, rng.Uint64())
+		return newOurs(w, zone, rng.Uint64())
 	}
 	if !slices.Contains(Policies, word) {
 		return nil, fmt.Errorf("policy %q is none of %v", word, Policies)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -110,6 +110,7 @@
 	results  *Results
 	list     *discovery
 	ids      uint64
+	zones    int // nodes stand in them by turns
 }
 
 // New makes a world. The same options and seed give the same run.
@@ -143,6 +144,7 @@
 	w.ledger = newLedger(w.engine, w.settings.Classes)
 	w.results = &Results{world: w, sum: fnv.New64a(), Ends: map[string]uint64{}, Latency: hdrhistogram.New(1, longestTime.Microseconds(), 3)}
 	for i, s := range o.Servers {
+		w.zones = max(w.zones, s.Entry.Zone+1)
 		server := NewServer(s, w.engine, Stream(seed, fmt.Sprint("server ", i)), w.ledger)
 		server.listed = s.Entry
 		w.servers = append(w.servers, server)
