One ledger of the four rules for simulation and sockets; a careless real node is caught

A planted node on real sockets that runs unsafe requests twice and sends on after drains is caught, as in virtual time.

--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -179,7 +179,7 @@
 		}
 		w.results.Attempts++
 		w.results.second(e.Now()).Attempts++
-		w.ledger.sent(t.record, n.drained[a.to])
+		w.ledger.sent(t.record, s, n.drained[a.to])
 		serverLife := s.life
 		e.After(way(), func() {
 			if s.life != serverLife {
@@ -187,7 +187,7 @@
 				return
 			}
 			j := &job{
-				class: t.class, key: t.key, req: t.record,
+				class: t.class, req: t.record,
 				done: func(status policy.Status) {
 					if !lost() {
 						e.After(way(), func() { finish(status) })
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -10,6 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"otterstep/internal/ledger"
 	"otterstep/policy"
 )
 
@@ -73,7 +74,7 @@
 	Within   uint64                   `json:"within"`    // served within their aim
 	Ends     map[string]uint64        `json:"ends"`      // by how they ended
 	Seconds  []Second                 `json:"seconds"`   // by when they began
-	Broken   map[string]int           `json:"broken"`    // rules, with how often
+	Broken   map[ledger.Breach]int    `json:"broken"`    // how often
 	First    string                   `json:"first"`     // breach
 	Work     map[string]time.Duration `json:"work"`      // done by each server
 	Digest   string                   `json:"digest"`    // of all ends in their order
@@ -179,7 +180,11 @@
 	}
 	r := w.results
 	r.Events = w.engine.Run(w.start + w.opt.For + 2*longest + time.Second)
-	r.Broken, r.First, r.Open = w.ledger.broken, w.ledger.first, w.ledger.open
+	report := w.ledger.Report()
+	r.Broken, r.Open = report.Broken, w.ledger.open
+	if len(report.Words) > 0 {
+		r.First = report.Words[0]
+	}
 	r.Digest = fmt.Sprintf("%016x", r.sum.Sum64())
 	r.P50, r.P99 = quantile(r.Latency, 50), quantile(r.Latency, 99)
 	for i := range r.Seconds {
--- a/internal/standin/lab/lab_test.go
+++ b/internal/standin/lab/lab_test.go
@@ -45,6 +45,8 @@
 		op, err := operator.Load(os.Args[2])
 		must(err)
 		must(node.Run(ctx, cfg, op, node.Reloads{}, slog.New(slog.NewTextHandler(os.Stderr, nil))))
+	case role == "careless":
+		must(careless(ctx))
 	case role == "lab":
 		l, err := New(ctx, testOptions(os.Getenv("OTTERLAB_DIR")))
 		must(err)
--- a/internal/standin/lab/play_test.go
+++ b/internal/standin/lab/play_test.go
@@ -1,6 +1,14 @@
 package lab
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strings"
@@ -8,6 +16,9 @@
 	"time"
 
 	"otterstep/internal/experiment"
+	"otterstep/internal/ledger"
+	"otterstep/internal/node"
+	"otterstep/internal/standin"
 )
 
 const played = `about = "A box hangs, another fails half, a third drains and one is listed by turns."
@@ -124,6 +135,80 @@
 	}
 }
 
+// careless is a node with faults planted: it goes by the first list that it got, whatever
+// it hears later, sends each request to the first server there, and unsafe ones twice.
+func careless(ctx context.Context) error {
+	cfg, err := node.LoadConfig(os.Getenv("PROXY_CONFIG"))
+	if err != nil {
+		return err
+	}
+	var list struct{ Targets []standin.Target }
+	hear := func() error {
+		resp, err := http.Get("http://" + cfg.Discovery + "/discovery/hosts")
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if list.Targets != nil {
+			return nil
+		}
+		return json.NewDecoder(resp.Body).Decode(&list)
+	}
+	if err := hear(); err != nil {
+		return err
+	}
+	forward := &httputil.ReverseProxy{Rewrite: func(r *httputil.ProxyRequest) {
+		r.SetURL(&url.URL{Scheme: "http", Host: list.Targets[0].Endpoint})
+	}}
+	s := &http.Server{Addr: cfg.Listen, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/up" {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		send := func(w http.ResponseWriter) {
+			r := r.Clone(r.Context())
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			forward.ServeHTTP(w, r)
+		}
+		if strings.HasPrefix(r.URL.Path, "/booking/") {
+			send(httptest.NewRecorder())
+		}
+		send(w)
+	})}
+	go s.ListenAndServe()
+	for every := time.NewTicker(100 * time.Millisecond); ; {
+		select {
+		case <-every.C:
+			if err := hear(); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return s.Close()
+		}
+	}
+}
+
+// Faults of a node are seen on sockets as they are in virtual time.
+func TestLedgerSeesACarelessNode(t *testing.T) {
+	text := strings.Replace(played, "for = \"7s\"", "for = \"4s\"", 1)
+	text, _, _ = strings.Cut(text, "[[fault]]")
+	x := loadText(t, strings.Replace(text, "rate = 80.0", "rate = 40.0", 1)+"[[fault]]\nat = \"1500ms\"\nwhat = \"drain\"\nservers = [0]\n")
+	opt := testOptions(t.TempDir())
+	opt.NodeEnv = map[string]string{"OTTERLAB_ROLE": "careless"}
+	r, err := Play(t.Context(), x, opt, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range []ledger.Breach{ledger.RanTwice, ledger.AfterDrain} {
+		if r.Results.Broken[b] == 0 || len(r.Failed) == 0 {
+			t.Errorf("not seen: %s; %v", b, r.Results.Broken)
+		}
+	}
+}
+
 // What sockets can't show is said before anything starts.
 func TestUnplayable(t *testing.T) {
 	text := strings.Replace(played, "what = \"hang\"", "what = \"mute\"", 1)
