Tests that passed without the code now fail without it; two needless steps of the module gone

Read again and tried by mutation: the tests of stale, away and flapping discovery, of calls turned away, of shrinking and of the lagging generator passed with that code taken out. Deaf nodes now show whether they heard; turned away calls are counted; a find must need each of its faults; the generator is held up in earnest and must void its run and count from when requests were due.

--- a/internal/experiment/search_test.go
+++ b/internal/experiment/search_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -26,6 +27,7 @@
 // (here: one without the fault) is told apart.
 func TestHuntFindsAndShrinks(t *testing.T) {
 	for rule, plant := range map[ledger.Breach]sim.Planted{
+		ledger.PushedOver:   {}, // random choice does that: it sends cold servers as much as others
 		ledger.SecondAnswer: {Echo: true},
 		ledger.RanTwice:     {Again: true},
 		ledger.AfterDrain:   {Deaf: true},
@@ -36,6 +38,9 @@
 			x := load(t, "calm")
 			x.File.For.Duration, x.File.Load.Rate = 5*time.Second, 150
 			x.Options.Planted = plant
+			if rule == ledger.PushedOver {
+				x.Options.Policy, x.File.Load.Rate = "random", 600
+			}
 			var said []string
 			found, r, err := x.Hunt(t.Context(), 3, 200, func(text string) { said = append(said, text) })
 			if err != nil {
@@ -55,7 +60,7 @@
 			if _, err := again.Replay(); err == nil || !strings.Contains(err.Error(), "another build") {
 				t.Errorf("without the fault: %v", err)
 			}
-			again.Options.Planted = plant
+			again.Options.Planted, again.Options.Policy = plant, x.Options.Policy
 			if _, err := again.Replay(); err != nil {
 				t.Error(err)
 			}
@@ -78,10 +83,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	found, r, err := x.Hunt(t.Context(), 1, 12, func(string) {})
+	said := []string{}
+	found, r, err := x.Hunt(t.Context(), 1, 12, func(text string) { said = append(said, text) })
 	if err != nil {
 		t.Fatal(err)
 	}
+	// What shrinking leaves can't be made smaller by leaving a fault out.
+	for i := range found.File.Fault {
+		less := found.File
+		less.Fault = slices.Delete(slices.Clone(less.Fault), i, i+1)
+		smaller, err := found.with(less)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := smaller.play(r.Seed); err != nil || 1-got.Share >= 1-r.Share {
+			t.Errorf("fault %d is not needed: %.4f without it, %v; %q", i, got.Share, err, said)
+		}
+	}
 	if r.Share > usual.Share-0.01 || len(r.Results.Broken) > 0 || len(found.File.Fault) == 0 {
 		t.Errorf("%.3f within the aim, usually %.3f; broken %v; %d faults", r.Share, usual.Share, r.Results.Broken, len(found.File.Fault))
 	}
@@ -132,6 +150,13 @@
 			t.Errorf("%q: %v, want %q", text, err, want)
 		}
 	}
+	full := write("full.csv", strings.Repeat("1s,read,0,0\n", 4))
+	if _, err := readTrace(full, classes, 2, 3); err == nil || !strings.Contains(err.Error(), ":4: over 3") {
+		t.Errorf("a trace over its bound: %v", err)
+	}
+	if got, err := readTrace(full, classes, 2, 4); err != nil || len(got) != 4 {
+		t.Errorf("a trace at its bound: %d, %v", len(got), err)
+	}
 	text, err := os.ReadFile("../../experiments/calm.toml")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/experiment/trace.go
+++ b/internal/experiment/trace.go
@@ -21,6 +21,10 @@
 // class by name, tenant by number from 0, key (0: its own). A first line that begins with
 // "at" names the columns. Requests need not be in order. Errors name file and line.
 func ReadTrace(path string, classes []Class, tenants int) ([]sim.Arrival, error) {
+	return readTrace(path, classes, tenants, mostTrace)
+}
+
+func readTrace(path string, classes []Class, tenants, most int) ([]sim.Arrival, error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return nil, fmt.Errorf("trace: %w", err)
@@ -57,8 +61,8 @@
 		if a.Key, err = strconv.ParseUint(fields[3], 10, 64); err != nil {
 			return nil, bad("key", fields[3], errors.New("no number"))
 		}
-		if len(all) == mostTrace {
-			return nil, fmt.Errorf("trace %s:%d: over %d requests", path, line, mostTrace)
+		if len(all) == most {
+			return nil, fmt.Errorf("trace %s:%d: over %d requests", path, line, most)
 		}
 		all = append(all, a)
 	}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -85,12 +85,18 @@
 	if err != nil || r.Skipped == 0 || !strings.Contains(r.Void, "not sent") {
 		t.Errorf("a full generator: %+v, %v", r, err)
 	}
-	rec := NewRecorder()
-	for range 100 {
-		rec.add(Served, time.Second, 50*time.Millisecond)
-	}
-	if r := rec.report(0, time.Second); !strings.Contains(r.Void, "lags") {
-		t.Errorf("a generator that lags: %+v", r)
+	// One that stands still for a while: what was due then counts from when it was due.
+	stood := false
+	r, err = Run(t.Context(), target(func(uint64) (time.Duration, Outcome) { return 0, Served }), Options{
+		For: 500 * time.Millisecond, Open: 1000, TimeOut: time.Second, Steady: true, Rate: func(at time.Duration) float64 {
+			if at > 100*time.Millisecond && !stood {
+				stood = true
+				<-time.After(300 * time.Millisecond) // a machine that is busy with something else
+			}
+			return 400
+		}})
+	if err != nil || !strings.Contains(r.Void, "lags") || r.P50 < 50*time.Millisecond || r.LagP99 < 200*time.Millisecond {
+		t.Errorf("a generator that lags: %+v, %v", r, err)
 	}
 	if r := NewRecorder().report(0, time.Second); r.Void == "" {
 		t.Error("an empty run counts")
--- a/internal/sim/discovery.go
+++ b/internal/sim/discovery.go
@@ -15,6 +15,7 @@
 	away  bool
 	stale bool // what changes is not listed
 	busy  int  // calls that wait or are worked on
+	full  int  // calls turned away, as they would have waited too long
 }
 
 // begin has a node that has just started know what it knows then: all that is listed, or
@@ -59,6 +60,9 @@
 	}
 	way := w.opt.Net.Latency.Draw(n.rng)
 	wait := time.Duration(d.busy+1) * w.opt.Call
+	if wait > w.opt.AskWait {
+		d.full++
+	}
 	if d.away || wait > w.opt.AskWait {
 		w.engine.After(2*way, func() { answer(policy.ListFailed, nil) })
 		return
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -331,14 +331,16 @@
 func (w *World) flap(s *Server, f Fault, on bool) {
 	s.flaps++
 	turn := s.flaps
-	state := policy.Ready
+	gone := false
 	var next func()
 	next = func() {
 		if s.flaps != turn {
 			return
 		}
-		state = policy.Ready - state // Ready is 1, Gone 0
-		s.opt.Entry.State = state
+		s.opt.Entry.State = policy.Gone
+		if gone = !gone; !gone {
+			s.opt.Entry.State = policy.Ready
+		}
 		w.list.tell(policy.ListDelta, []*Server{s})
 		w.engine.After(time.Duration(f.Amount*float64(time.Second)), next)
 	}
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -170,7 +170,6 @@
 		"stale": func(o *Options) {
 			o.Faults = []Fault{{At: 2 * time.Second, For: 5 * time.Second, What: "stale"}, drain}
 		},
-		"slow": func(o *Options) { o.Nodes, o.Call = 8, 400*time.Millisecond },
 		"flap": func(o *Options) {
 			o.Faults = []Fault{{At: 2 * time.Second, For: 5 * time.Second, What: "flap", Servers: []int{2}, Amount: 0.2}}
 		},
@@ -180,10 +179,28 @@
 			t.Errorf("%s: %.3f within the aim, broken %v, %s; %d open", name, r.Share(), r.Broken, r.First, r.Open)
 		}
 	}
-	// A planted fault shows that the nodes did hear of the drain.
-	deaf := asked(func(o *Options) { o.Faults, o.Planted.Deaf = []Fault{drain}, true })
-	if deaf.Broken["a new request after a drain"] == 0 {
-		t.Error("no node was told of the drain")
+	// Nodes that note what they hear and go on as before show by that whether they heard.
+	for name, c := range map[string]struct {
+		faults []Fault
+		heard  bool
+	}{
+		"drain": {[]Fault{drain}, true},
+		"away":  {[]Fault{{At: 2 * time.Second, What: "discovery"}, drain}, false},
+		"stale": {[]Fault{{At: 2 * time.Second, What: "stale"}, drain}, false},
+		"flap":  {[]Fault{{At: 2 * time.Second, For: 5 * time.Second, What: "flap", Servers: []int{2}, Amount: 2}}, true},
+	} {
+		deaf := asked(func(o *Options) { o.Faults, o.Planted.Deaf = c.faults, true })
+		if got := deaf.Broken[ledger.AfterDrain] > 0; got != c.heard {
+			t.Errorf("%s: nodes heard of it %v, want %v", name, got, c.heard)
+		}
+	}
+	// One call at a time of 400 ms: of eight nodes that ask at once some would wait over 2 s.
+	w, err := New(small(func(o *Options) { o.Asked, o.Call, o.AskWait, o.Nodes = true, 400*time.Millisecond, 2*time.Second, 8 }), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w.Run(); w.list.full < 3 || w.list.busy != 0 {
+		t.Errorf("%d calls were turned away, %d are not over", w.list.full, w.list.busy)
 	}
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -120,9 +120,10 @@
 // a tier that starts as a whole, with nobody to compare with, is found out as fast as it answers.
 func (b *Balancer) earn(now time.Duration, a *attempt) {
 	s := a.server
-	if s.done.add(now, a.work); b.thin() || b.coldShare(s, now) >= 1 {
+	if b.thin() || b.coldShare(s, now) >= 1 {
 		return
 	}
+	s.done.add(now, a.work)
 	most := max(earnedLeast*a.work, s.done.perSecond(now)*b.set.Rules.FallFor.Seconds()*earnedMost)
 	s.earned = min(s.earned+a.work*b.set.Rules.FallMultiple*coldSafety, most)
 }
@@ -152,7 +153,7 @@
 	}
 }
 
-// gauge finds a server's success and latency as of now, and rate its score by them.
+// gauge finds a server's success and latency as of now.
 func (b *Balancer) gauge(now time.Duration, s *server) {
 	s.success = (float64(s.good) + priorOutcomes*b.meanSuccess) / (float64(s.kept) + priorOutcomes)
 	s.latency = (s.latencySum + priorOutcomes*b.meanLatency) / (float64(s.good) + priorOutcomes)
@@ -163,6 +164,7 @@
 	}
 }
 
+// rate finds a server's score by its success and latency.
 func (b *Balancer) rate(s *server) {
 	s.score = successPart*s.success + latencyPart*(1-s.latency/max(b.highest, s.latency, 1e-9))
 }
@@ -239,7 +241,8 @@
 	rounds := seconds / b.typical // answers come back once a round; faster steps would swing
 	b.steered = now
 	excess := b.crowding - crowdingAim
-	defer func() { b.crossed = false }()
+	crossed := b.crossed
+	b.crossed = false
 	switch {
 	case excess > 0 && !b.crowded: // the start's fast growth went too far
 		b.crowded, b.limit, b.limitKnown = true, 0.6*b.limit, 0.6*b.limit
@@ -247,7 +250,7 @@
 		least := max(1/float64(b.set.Nodes), 0.9*b.limitKnown)
 		b.limit = max(least, b.limit*(1-limitDown*min(excess, 0.2)*rounds))
 		b.limitKnown *= 1 - seconds/limitFor
-	case (len(b.held) > 0 || b.crossed) && b.loneSeen >= loneNeeded:
+	case (len(b.held) > 0 || crossed) && b.loneSeen >= loneNeeded:
 		if !b.crowded {
 			rounds *= startFaster
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -55,7 +55,7 @@
 	fullUntil time.Duration // it turned a request away as full
 
 	rate      meter   // work sent to it
-	done      meter   // work that it has served
+	done      meter   // work that it has served while it is cold
 	earned    float64 // work that it may be sent while it is cold, by what it served
 	coldSaved float64 // work that it may be sent while it is cold, as of coldAt
 	coldAt    time.Duration
