Lab: each instance's port is kept for it; one histogram, one way of coming back

Ports were found free and let go, so that others could take them before an instance listened or while it restarted: a socket that is bound and never listens keeps each one now, and an instance that is late is named with the end of its log. Clients' coming back (internal/comeback), the account of a run's ends (sim.Results) and quantiles of histograms (internal/latency) were each written twice or thrice; they are one each.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
+	"otterstep/internal/latency"
 )
 
 // Bounds of a run.
@@ -76,8 +76,6 @@
 	P999    time.Duration     `json:"p999"`
 	Most    time.Duration     `json:"most"`
 	LagP99  time.Duration     `json:"lag_p99"` // of the generator: sent after it was meant
-
-	Latency *hdrhistogram.Histogram `json:"-"` // microseconds
 }
 
 // check says what is impossible.
@@ -100,15 +98,15 @@
 // Recorder takes what came of requests; its methods may be called on any goroutine.
 type Recorder struct {
 	mu      sync.Mutex
-	latency *hdrhistogram.Histogram
-	lag     *hdrhistogram.Histogram
+	latency *latency.Histogram // of the served
+	lag     *latency.Histogram
 	ends    [outcomes]uint64
 	sent    uint64
 }
 
 // NewRecorder makes one. Its memory does not grow with what it takes.
 func NewRecorder() *Recorder {
-	return &Recorder{latency: hdrhistogram.New(1, longest.Microseconds(), figures), lag: hdrhistogram.New(1, longest.Microseconds(), figures)}
+	return &Recorder{latency: latency.New(figures), lag: latency.New(figures)}
 }
 
 func (r *Recorder) add(o Outcome, took, lag time.Duration) {
@@ -116,17 +114,12 @@
 	defer r.mu.Unlock()
 	r.sent++
 	r.ends[o]++
-	_ = r.lag.RecordValue(clamp(lag))
+	r.lag.Record(lag)
 	if o == Served {
-		_ = r.latency.RecordValue(clamp(took))
+		r.latency.Record(took)
 	}
 }
 
-// clamp fits a time into the histograms.
-func clamp(d time.Duration) int64 {
-	return min(max(1, d.Microseconds()), longest.Microseconds()-1)
-}
-
 // Run asks a target until o.For is over or ctx ends; requests that are out then are waited
 // for, no longer than o.TimeOut. An error tells of impossible options only.
 func Run(ctx context.Context, target Target, o Options) (Report, error) {
@@ -151,17 +144,14 @@
 func (r *Recorder) Quantile(q float64) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Duration(r.latency.ValueAtQuantile(100*q)) * time.Microsecond
+	return r.latency.Quantile(q)
 }
 
 func (r *Recorder) report(skipped uint64, took time.Duration) Report {
-	us := func(h *hdrhistogram.Histogram, q float64) time.Duration {
-		return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
-	}
 	p := Report{
-		Sent: r.sent, Skipped: skipped, Took: took, Ends: map[string]uint64{}, Latency: r.latency, Rate: float64(r.sent) / took.Seconds(),
-		P50: us(r.latency, 50), P90: us(r.latency, 90), P99: us(r.latency, 99), P999: us(r.latency, 99.9), Most: us(r.latency, 100),
-		LagP99: us(r.lag, 99),
+		Sent: r.sent, Skipped: skipped, Took: took, Ends: map[string]uint64{}, Rate: float64(r.sent) / took.Seconds(),
+		P50: r.latency.Quantile(0.5), P90: r.latency.Quantile(0.9), P99: r.latency.Quantile(0.99), P999: r.latency.Quantile(0.999), Most: r.latency.Quantile(1),
+		LagP99: r.lag.Quantile(0.99),
 	}
 	for o, n := range r.ends {
 		if n > 0 {
--- a/internal/sim/clients.go
+++ b/internal/sim/clients.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"otterstep/internal/comeback"
 	"otterstep/internal/core"
 	"otterstep/policy"
 )
@@ -22,9 +23,7 @@
 	Keys    int     // different keys; 0: each request its own
 	Bursts  bool    // arrivals in groups of ten
 	Curve   func(time.Duration) float64
-	Heed    float64 // share of clients that wait for Retry-After and come back; the rest leave
-	Tries   int     // of a client whose request was refused
-	Rash    float64 // share of clients that ask again at once, refused or failed, whatever they were told
+	comeback.Habits
 	// Impatient is the share of clients that leave without an answer after a time that is
 	// uniform from 0 to twice Patience.
 	Impatient float64
@@ -39,9 +38,6 @@
 	Key           uint64 // 0: its own
 }
 
-// leastLeft is what a client has left when it asks again.
-const leastLeft = 50 * time.Millisecond
-
 // clients draw requests and judge their ends.
 type clients struct {
 	world   *World
@@ -56,7 +52,7 @@
 	key           uint64
 	began, end    time.Duration
 	tries         int
-	heeds, rash   bool
+	client        comeback.Client
 	patience      time.Duration // it leaves after that; 0: it stays to its end
 }
 
@@ -130,7 +126,7 @@
 func (c *clients) draw() *request {
 	w := c.world
 	l := w.opt.Load
-	q := &request{began: w.engine.Now(), heeds: c.rng.Float64() < l.Heed, rash: c.rng.Float64() < l.Rash}
+	q := &request{began: w.engine.Now(), client: l.Draw(c.rng)}
 	if l.Impatient > 0 && c.rng.Float64() < l.Impatient {
 		q.patience = time.Duration(2 * c.rng.Float64() * float64(l.Patience))
 	}
@@ -161,8 +157,7 @@
 func (c *clients) try(q *request) {
 	w := c.world
 	q.tries++
-	w.results.Tries++
-	w.results.second(w.engine.Now()).Tries++
+	w.results.Tried(w.since())
 	up := w.nodes[c.rng.IntN(len(w.nodes))]
 	for range w.nodes {
 		if !up.down {
@@ -176,7 +171,7 @@
 		if !t.over {
 			t.over = true
 			w.ledger.end(t.record, true)
-			w.results.end(t, "unanswered")
+			w.end(t, "unanswered")
 		}
 	})
 	if q.patience > 0 && q.tries == 1 {
@@ -193,7 +188,7 @@
 	t.over = true
 	w := t.world
 	w.ledger.end(t.record, false)
-	w.results.end(t, "left")
+	w.end(t, "left")
 	w.engine.After(w.opt.ClientNet.Draw(w.clients.rng), func() { t.at.left(t) })
 }
 
@@ -206,16 +201,17 @@
 	}
 	t.over = true
 	w.ledger.end(t.record, true)
-	now := w.engine.Now()
-	again := t.tries < max(1, w.opt.Load.Tries) && a.Kind != core.Served && now+leastLeft < t.end
-	unsafe := w.settings.Classes[t.class].Effect == policy.Unsafe && a.Kind != core.Refused
-	switch wait := a.RetryAfter + time.Duration(float64(a.RetryAfter)*w.clients.rng.Float64()/2); {
-	case again && !unsafe && t.rash:
+	wait, again := t.client.Again(comeback.Answer{
+		Tries: t.tries, Refused: a.Kind == core.Refused, Unsafe: w.settings.Classes[t.class].Effect == policy.Unsafe,
+		RetryAfter: a.RetryAfter, Left: t.end - w.engine.Now(),
+	}, w.clients.rng)
+	switch {
+	case a.Kind == core.Served || !again:
+		w.end(t, a.Kind.String())
+	case wait == 0:
 		w.clients.try(t.request)
-	case again && t.heeds && a.Kind == core.Refused && now+wait+leastLeft < t.end:
-		w.engine.After(wait, func() { w.clients.try(t.request) })
 	default:
-		w.results.end(t, a.Kind.String())
+		w.engine.After(wait, func() { w.clients.try(t.request) })
 	}
 }
 
@@ -227,7 +223,7 @@
 	}
 	t.over = true
 	t.world.ledger.end(t.record, false)
-	t.world.results.end(t, "node died")
+	t.world.end(t, "node died")
 }
 
 func sortTries(all []*try) {
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -177,8 +177,7 @@
 			finish(policy.Moot)
 			return
 		}
-		w.results.Attempts++
-		w.results.second(e.Now()).Attempts++
+		w.results.attempted(w.since())
 		w.ledger.sent(t.record, s, n.drained[a.to])
 		serverLife := s.life
 		e.After(way(), func() {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"cmp"
 	"fmt"
 	"hash"
 	"hash/fnv"
@@ -8,9 +9,6 @@
 	"slices"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"otterstep/internal/ledger"
 	"otterstep/policy"
 )
 
@@ -23,9 +21,6 @@
 	Deaf    bool // nodes are told of drains and go on as before
 }
 
-// longestTime is what the histograms take: far above any deadline that is played.
-const longestTime = 10 * time.Minute
-
 // leastTurn of a server that flaps.
 const leastTurn = 50 * time.Millisecond
 
@@ -65,37 +60,6 @@
 // Broad tells that a fault is discovery's and names no servers.
 func Broad(what string) bool { return what == "discovery" || what == "stale" }
 
-// Results are what came of a run.
-type Results struct {
-	Asked    uint64                   `json:"asked"`     // requests, counted once however often they were tried
-	Tries    uint64                   `json:"tries"`     // requests at nodes
-	Attempts uint64                   `json:"attempts"`  // requests at servers
-	Counted  uint64                   `json:"counted"`   // that ended after the warm-up
-	Within   uint64                   `json:"within"`    // served within their aim
-	Ends     map[string]uint64        `json:"ends"`      // by how they ended
-	Seconds  []Second                 `json:"seconds"`   // by when they began
-	Broken   map[ledger.Breach]int    `json:"broken"`    // how often
-	First    string                   `json:"first"`     // breach
-	Work     map[string]time.Duration `json:"work"`      // done by each server
-	Digest   string                   `json:"digest"`    // of all ends in their order
-	Events   int                      `json:"events"`    // of the simulation
-	Open     int                      `json:"open"`      // records that the ledger still held
-	Latency  *hdrhistogram.Histogram  `json:"-"`         // of served ones, microseconds
-	P50, P99 time.Duration            `json:",omitzero"` // of served ones
-
-	world *World
-	sum   hash.Hash64
-}
-
-// Second is one second of a run: the requests that began in it, and how these ended.
-type Second struct {
-	Asked, Within, Refused, Failed uint64
-	Tries, Attempts                uint64        // at nodes, and at servers
-	P50, P99                       time.Duration `json:",omitzero"` // of the served ones
-
-	latency *hdrhistogram.Histogram
-}
-
 // World is one simulated installation. Make it with New, then Run it once.
 type World struct {
 	opt      Options
@@ -109,6 +73,7 @@
 	nodes    []*node
 	clients  *clients
 	results  *Results
+	sum      hash.Hash64 // of all ends
 	list     *discovery
 	ids      uint64
 	zones    int // nodes stand in them by turns
@@ -143,7 +108,7 @@
 		}
 	}
 	w.ledger = newLedger(w.engine, w.settings.Classes)
-	w.results = &Results{world: w, sum: fnv.New64a(), Ends: map[string]uint64{}, Latency: hdrhistogram.New(1, longestTime.Microseconds(), 3)}
+	w.results, w.sum = NewResults(o.Warm), fnv.New64a()
 	for i, s := range o.Servers {
 		w.zones = max(w.zones, s.Entry.Zone+1)
 		server := NewServer(s, w.engine, Stream(seed, fmt.Sprint("server ", i)), w.ledger)
@@ -180,18 +145,10 @@
 	}
 	r := w.results
 	r.Events = w.engine.Run(w.start + w.opt.For + 2*longest + time.Second)
-	report := w.ledger.Report()
-	r.Broken, r.Open = report.Broken, w.ledger.open
-	if len(report.Words) > 0 {
-		r.First = report.Words[0]
-	}
-	r.Digest = fmt.Sprintf("%016x", r.sum.Sum64())
-	r.P50, r.P99 = quantile(r.Latency, 50), quantile(r.Latency, 99)
-	for i := range r.Seconds {
-		if s := &r.Seconds[i]; s.latency != nil {
-			s.P50, s.P99, s.latency = quantile(s.latency, 50), quantile(s.latency, 99), nil
-		}
-	}
+	r.Judged(w.ledger.Report())
+	r.Open = w.ledger.open
+	r.Digest = fmt.Sprintf("%016x", w.sum.Sum64())
+	r.Finish()
 	r.Work = map[string]time.Duration{}
 	for _, s := range w.servers {
 		r.Work[s.opt.Addr] = s.work
@@ -199,62 +156,14 @@
 	return r
 }
 
-func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
-	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
-}
-
-// second gives the second that a time falls into.
-func (r *Results) second(at time.Duration) *Second {
-	n := int((at - r.world.start) / time.Second)
-	for n >= len(r.Seconds) {
-		r.Seconds = append(r.Seconds, Second{})
-	}
-	return &r.Seconds[n]
-}
-
-// Share is the part of the counted requests that were served within their aim.
-func (r *Results) Share() float64 { return float64(r.Within) / float64(max(1, r.Counted)) }
-
-// PerRequest gives the attempts that a request at a node made at servers, on average.
-func (r *Results) PerRequest() float64 { return float64(r.Attempts) / float64(max(1, r.Tries)) }
+// since gives the time since the run's start.
+func (w *World) since() time.Duration { return w.engine.Now() - w.start }
 
-// end takes the end of a request.
-func (r *Results) end(t *try, how string) {
-	_, _ = io.WriteString(r.sum, t.word(how)) // a hash takes all
-	w := r.world
-	counts := t.began-w.start >= w.opt.Warm
-	if counts {
-		r.Counted++
-		r.Ends[how]++
-	}
-	second := r.second(t.began)
-	second.Asked++
-	switch how {
-	case "served":
-		took := w.engine.Now() - t.began
-		if second.latency == nil {
-			second.latency = hdrhistogram.New(1, longestTime.Microseconds(), 2)
-		}
-		us := max(1, took.Microseconds())
-		_ = second.latency.RecordValue(us) // deadlines are far below its most
-		if counts {
-			_ = r.Latency.RecordValue(us)
-		}
-		aim := w.settings.Classes[t.class].Aim
-		if aim == 0 {
-			aim = w.settings.Classes[t.class].Deadline
-		}
-		if took <= aim {
-			second.Within++
-			if counts {
-				r.Within++
-			}
-		}
-	case "refused":
-		second.Refused++
-	default:
-		second.Failed++
-	}
+// end takes the end of a try's request.
+func (w *World) end(t *try, how string) {
+	_, _ = io.WriteString(w.sum, t.word(how)) // a hash takes all
+	c := w.settings.Classes[t.class]
+	w.results.Take(End{Began: t.began - w.start, Took: w.engine.Now() - t.began, Aim: cmp.Or(c.Aim, c.Deadline), How: how})
 }
 
 // troubled tells that a machine is silent or cut off.
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/comeback"
 	"otterstep/internal/ledger"
 	"otterstep/policy"
 )
@@ -23,7 +24,7 @@
 		Nodes: 2, Settings: s, For: 8 * time.Second, Warm: time.Second,
 		Net:       Network{Latency: Times{Kind: "exponential", Mean: time.Millisecond}},
 		ClientNet: Times{Kind: "constant", Mean: time.Millisecond}, Told: Times{Kind: "uniform", Mean: 100 * time.Millisecond},
-		Load: Load{Rate: 250, Shares: []float64{0.7, 0.15, 0.15}, Tenants: 5, Skew: 1, Heed: 1, Tries: 3},
+		Load: Load{Rate: 250, Shares: []float64{0.7, 0.15, 0.15}, Tenants: 5, Skew: 1, Habits: comeback.Habits{Heed: 1, Tries: 3}},
 	}
 	service := Times{Kind: "lognormal", Mean: 20 * time.Millisecond, Sigma: 0.5}
 	for i := range 6 {
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"otterstep/internal/comeback"
 	"otterstep/internal/load"
 )
 
@@ -26,8 +27,7 @@
 	// answerGrace is what an answer may take beyond the client's time, as the
 	// client's own clock counts it on a busy machine.
 	answerGrace = 250 * time.Millisecond
-	leastLeft   = 50 * time.Millisecond // what a client has left when it asks again
-	runMost     = 8 * time.Hour         // of clients that nobody ends
+	runMost     = 8 * time.Hour // of clients that nobody ends
 )
 
 // Front deals requests out among nodes. It takes a node in once its /up answers
@@ -106,6 +106,19 @@
 	return n
 }
 
+// Out gives the addresses of the nodes that take none.
+func (f *Front) Out() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, n := range f.nodes {
+		if !n.in {
+			out = append(out, n.addr)
+		}
+	}
+	return out
+}
+
 // pick gives the next node in turn; nil while none is in.
 func (f *Front) pick() *frontNode {
 	f.mu.Lock()
@@ -136,10 +149,8 @@
 	Seed    uint64
 	Most    int // requests open at once; beyond them none is sent, see Clients.Skipped
 	// Whole gives each request its class's whole deadline, in place of 70% to all of it.
-	Whole bool
-	Tries int     // of a request that was refused, or failed and may run twice; 0: one
-	Heed  float64 // share of clients that wait for Retry-After and come back; the rest leave
-	Rash  float64 // share that ask again at once, refused or failed
+	Whole    bool
+	Comeback comeback.Habits // after a refusal, or a failure of what may run twice
 	// Ended, if set, is told of each request's end: on any goroutine.
 	Ended func(End)
 }
@@ -237,7 +248,7 @@
 		left = time.Duration(float64(class.Deadline) * (0.7 + 0.3*rng.Float64()))
 	}
 	end := time.Now().Add(left)
-	heeds, rash := rng.Float64() < c.opt.Heed, rng.Float64() < c.opt.Rash
+	client := c.opt.Comeback.Draw(rng)
 	for {
 		var retryAfter time.Duration
 		var asked bool
@@ -247,12 +258,10 @@
 		}
 		e.Sent = true
 		e.Tries++
-		harmless := e.Outcome == Refused || e.Outcome == Failed && class.Effect != Unsafe
-		wait := retryAfter + time.Duration(float64(retryAfter)*rng.Float64()/2)
-		if rash {
-			wait = 0
-		}
-		if e.Tries >= c.opt.Tries || !harmless || !rash && !(heeds && e.Outcome == Refused) || time.Until(end) < wait+leastLeft {
+		wait, again := client.Again(comeback.Answer{
+			Tries: e.Tries, Refused: e.Outcome == Refused, Unsafe: class.Effect == Unsafe, RetryAfter: retryAfter, Left: time.Until(end),
+		}, rng)
+		if e.Outcome == Served || e.Outcome == Lost || !again {
 			break
 		}
 		select {
--- a/internal/standin/lab/fleet.go
+++ b/internal/standin/lab/fleet.go
@@ -22,7 +22,7 @@
 type Instance struct {
 	Name, Agent, Addr string
 	Config, Control   string // files
-	RunFile           string
+	RunFile, LogFile  string
 }
 
 // fleet writes the configurations of instances and agents, and starts the agents,
@@ -101,15 +101,17 @@
 
 // instance writes an instance's files and gives its definition for its agent.
 func (l *Lab) instance(index, agent int, discovery string) (Instance, object, error) {
-	addr, err := freeAddr()
+	kept, err := keepPort()
 	if err != nil {
 		return Instance{}, nil, err
 	}
+	l.ports = append(l.ports, kept)
+	addr := kept.addr
 	name := fmt.Sprintf("n%d", index+1)
 	at := func(ending string) string { return filepath.Join(l.opt.Dir, name+ending) }
 	i := Instance{
 		Name: name, Agent: agentName(agent), Addr: addr, Config: at(".json"), Control: at(".sock"),
-		RunFile: filepath.Join(l.state(agent), name+".run"),
+		RunFile: filepath.Join(l.state(agent), name+".run"), LogFile: filepath.Join(l.state(agent), name+".log"),
 	}
 	text, err := json.MarshalIndent(l.config(name, addr, discovery, index), "", " ")
 	if err != nil {
--- a/internal/standin/lab/lab.go
+++ b/internal/standin/lab/lab.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
+	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -74,6 +76,7 @@
 	opt     Options
 	started time.Time
 	outlets []*standin.Outlet
+	ports   []port // of the instances
 	spawner *spawner
 	agents  []*process
 	states  []string // folders of the agents
@@ -165,22 +168,33 @@
 	for l.Front.In() < len(l.Instances) {
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("lab: %d of %d instances are up: %w", l.Front.In(), len(l.Instances), ctx.Err())
+			return fmt.Errorf("lab: %d of %d instances are up: %w%s", l.Front.In(), len(l.Instances), ctx.Err(), l.late())
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
 	return nil
 }
 
-// freeAddr finds a free address. Nothing holds it until the instance listens, so
-// that another process might take it; the instance then says so and ends.
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// late words the instances that the front does not have in, each with the end of its log.
+func (l *Lab) late() string {
+	var b strings.Builder
+	out := l.Front.Out()
+	for _, i := range l.Instances {
+		if slices.Contains(out, i.Addr) {
+			fmt.Fprintf(&b, "\n%s at %s: %s", i.Name, i.Addr, lastLines(i.LogFile))
+		}
+	}
+	return b.String()
+}
+
+// lastLines gives the end of a log, or why there is none.
+func lastLines(path string) string {
+	const most = 500
+	text, err := os.ReadFile(path)
 	if err != nil {
-		return "", fmt.Errorf("lab: %w", err)
+		return err.Error()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return string(text[max(0, len(text)-most):])
 }
 
 type object = map[string]any
@@ -259,6 +273,11 @@
 	for _, o := range l.outlets {
 		o.Close()
 	}
+	for _, p := range l.ports {
+		if err := p.Close(); err != nil {
+			l.opt.Log.Error("a port stays taken", "addr", p.addr, "err", err)
+		}
+	}
 	for _, b := range l.Boxes {
 		b.Crash()
 	}
--- a/internal/standin/lab/play.go
+++ b/internal/standin/lab/play.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"otterstep/internal/experiment"
 	"otterstep/internal/sim"
 	"otterstep/internal/standin"
@@ -55,11 +53,11 @@
 	}
 	defer l.Close()
 
-	p := &player{lab: l, experiment: x, began: time.Now(), results: &sim.Results{Ends: map[string]uint64{}, Latency: hdrhistogram.New(1, time.Hour.Microseconds(), 3)}}
+	p := &player{lab: l, experiment: x, began: time.Now(), results: sim.NewResults(x.Options.Warm)}
 	load := o.Load
 	l.Begin(standin.ClientOptions{
 		Rate: load.Rate, Curve: load.Curve, Classes: opt.Classes, Tenants: names(load.Tenants), Skew: load.Skew, Keys: load.Keys,
-		Seed: seed, Most: 16384, Whole: true, Tries: load.Tries, Heed: load.Heed, Rash: load.Rash, Ended: p.ended,
+		Seed: seed, Most: 16384, Whole: true, Comeback: load.Habits, Ended: p.ended,
 	})
 	if err := p.faults(ctx); err != nil {
 		return experiment.Run{}, err
@@ -151,42 +149,16 @@
 func (p *player) ended(e standin.End) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.results
-	since := e.Due.Sub(p.began)
-	n := max(0, int(since/time.Second))
-	for n >= len(r.Seconds) {
-		r.Seconds = append(r.Seconds, sim.Second{})
+	began := e.Due.Sub(p.began)
+	p.results.Asked++
+	for range e.Tries {
+		p.results.Tried(began)
 	}
-	second := &r.Seconds[n]
-	second.Asked++
-	second.Tries += uint64(e.Tries)
-	r.Asked++
-	r.Tries += uint64(e.Tries)
-	counts := since >= p.experiment.Options.Warm
 	how := e.Outcome.String()
 	if !e.Sent {
 		how = "not sent"
 	}
-	if counts {
-		r.Counted++
-		r.Ends[how]++
-	}
-	switch {
-	case e.Outcome == standin.Served:
-		if counts {
-			_ = r.Latency.RecordValue(max(1, e.Took.Microseconds())) // deadlines are far below its most
-		}
-		if e.Took <= p.experiment.Options.Settings.Classes[e.Class].Aim {
-			second.Within++
-			if counts {
-				r.Within++
-			}
-		}
-	case e.Outcome == standin.Refused && e.Sent:
-		second.Refused++
-	default:
-		second.Failed++
-	}
+	p.results.Take(sim.End{Began: began, Took: e.Took, Aim: p.experiment.Options.Settings.Classes[e.Class].Aim, How: how})
 }
 
 // step is a fault that begins or ends.
@@ -295,10 +267,7 @@
 	r := p.results
 	report := p.lab.Ledger.Report()
 	r.Attempts = uint64(report.Arrived)
-	if r.Broken = report.Broken; len(report.Words) > 0 {
-		r.First = report.Words[0]
-	}
-	r.P50 = time.Duration(r.Latency.ValueAtQuantile(50)) * time.Microsecond
-	r.P99 = time.Duration(r.Latency.ValueAtQuantile(99)) * time.Microsecond
+	r.Judged(report.Report)
+	r.Finish()
 	return r
 }
