Module: latencies of cold servers no longer hide a crowd from the warm ones

Cause: yardsticks were learnt while servers were cold (0.1 of their capacity, ten times the latency) and stayed, so that warm servers with 36 requests each did not count as crowded and the bound in flight went on growing. Change: a cold server's latency counts by the root of its cold share, between the least and the most that it can do.

--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -121,3 +121,33 @@
 		}
 	}
 }
+
+// Guards against yardsticks that a tier's cold start leaves behind: with ten times the
+// latency taken for a lone one's, nodes filled the queues of warm servers and asked for more.
+func TestColdLatenciesAreNoYardstickOfWarmServers(t *testing.T) {
+	set := testSettings()
+	set.Rules.ColdFrom = 0.1
+	r := newRig(t, set, 0)
+	r.now = time.Hour
+	e := ready(1, 4)
+	for i := range e {
+		e[i].Started = r.now
+	}
+	r.list(ListFull, e...)
+	b := r.b
+	answer := func(took time.Duration, lone bool) {
+		for _, s := range b.ready {
+			b.measure(&attempt{server: s, sent: r.now, lone: lone}, &request{class: &b.classes[0]}, took.Seconds())
+		}
+	}
+	for range loneNeeded {
+		answer(200*ms, true) // 20 ms of work
+	}
+	r.now += set.Rules.ColdFor
+	for range 200 {
+		answer(100*ms, false)
+	}
+	if b.crowding <= crowdingAim {
+		t.Errorf("warm servers that take five times a lone request's time pass for crowded by %.2f only, %.2f is the aim", b.crowding, crowdingAim)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -449,6 +449,7 @@
 	if !b.set.WorthByWork {
 		c.work += (latency - c.work) / c.seen // by all answers: lone ones are rare in a busy fleet
 	}
+	latency *= b.asWarm(a)
 	if a.lone {
 		c.loneSeen = min(c.loneSeen+1, 400)
 		c.lone += (latency/r.size() - c.lone) / c.loneSeen
@@ -472,6 +473,11 @@
 	return true
 }
 
+// asWarm is what a latency of an attempt counts for, as a part, because its server was cold. It can do
+// its cold share at least, and the whole at most: the truth is taken to lie half way between, as ratios
+// go. Yardsticks that were learnt at cold servers would hide any crowd from the warm ones.
+func (b *Balancer) asWarm(a *attempt) float64 { return math.Sqrt(b.coldShare(a.server, a.sent)) }
+
 // overran takes in an attempt that was given up at a server which answers others: it would have taken
 // longer still. Without this a node whose requests nearly all end so would hear only from the few that
 // don't, and go on crowding its servers.
@@ -480,7 +486,7 @@
 	if c.yardstick == 0 || s.loneSeen == 0 {
 		return false
 	}
-	excess := math.Log(max(latency, 1e-4)/(c.yardstick*r.size())) - s.lone
+	excess := math.Log(max(latency*b.asWarm(a), 1e-4)/(c.yardstick*r.size())) - s.lone
 	if excess <= b.crowding { // an impatient client's says nothing
 		return false
 	}
