otterlab load sip:…: calls as load, with the share within an aim

Need: the generator spoke HTTP only; SIP's benchmark had a load loop of its own, which counted from the sending. Tested over UDP and TCP against a scripted desk: ends told apart, BYEs answered, callers hold nothing afterwards.

--- a/cmd/otterlab/load.go
+++ b/cmd/otterlab/load.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -13,6 +15,8 @@
 
 	"otterstep/internal/cli"
 	"otterstep/internal/load"
+	"otterstep/internal/sip/transaction"
+	"otterstep/internal/standin/sipua"
 )
 
 // loading is how an address is loaded.
@@ -31,6 +35,8 @@
 	o := &loading{}
 	c := &cobra.Command{
 		Use: "load URL", Short: "Ask an address at a rate, and say how long answers took since each request was meant to go out", Args: cobra.ExactArgs(1),
+		Long: "URL is http://host:port/path, or sip:127.0.0.1:5060 (or with ;transport=tcp) for calls: INVITE, its answer, ACK and BYE.\n" +
+			"A call's time is that of its setup.",
 		RunE: func(c *cobra.Command, args []string) error { return o.run(c, args[0]) },
 	}
 	f := c.Flags()
@@ -45,7 +51,8 @@
 	f.StringVar(&o.http.Method, "method", http.MethodGet, "method")
 	f.StringArrayVarP(&o.headers, "header", "H", nil, "\"Name: value\"; %n in it is the request's number")
 	f.StringVar(&o.bodyFile, "body", "", "`file` with the body")
-	f.IntVar(&o.http.Sources, "sources", 0, "source addresses on loopback, 127.0.0.2 and on")
+	f.IntVar(&o.http.Sources, "sources", 0, "source addresses on loopback, 127.0.0.2 and on; of calls: callers, 8 if not given")
+	f.DurationVar(&o.load.Aim, "aim", 0, "within which answers are wanted, to be counted")
 	f.BoolVar(&o.http.Fresh, "fresh", false, "a new connection for each request")
 	f.BoolVar(&o.find, "knee", false, "find the greatest rate that holds, from --rate on")
 	f.DurationVar(&o.knee.P99, "knee-p99", 100*time.Millisecond, "what holds: p99 of no more than")
@@ -78,7 +85,7 @@
 			return o.rate + (o.rampTo-o.rate)*since.Seconds()/o.load.For.Seconds()
 		}
 	}
-	target, err := load.NewHTTP(o.http)
+	target, err := o.target(c.OutOrStdout())
 	if err != nil {
 		return wrong(err)
 	}
@@ -107,6 +114,9 @@
 	if o.output == "json" {
 		err = json.NewEncoder(c.OutOrStdout()).Encode(r)
 	} else {
+		if o.load.Aim > 0 {
+			fmt.Fprintf(c.OutOrStdout(), "%.4f served within %v\n", float64(r.Within)/float64(max(1, r.Sent)), o.load.Aim)
+		}
 		fmt.Fprintf(c.OutOrStdout(), "sent %d in %v, %.0f a second; ends %v\np50 %v, p90 %v, p99 %v, p99.9 %v, most %v; the generator's own lag, p99 %v\n",
 			r.Sent, r.Took.Round(time.Millisecond), r.Rate, r.Ends, r.P50, r.P90, r.P99, r.P999, r.Most, r.LagP99)
 	}
@@ -115,3 +125,30 @@
 	}
 	return err
 }
+
+// target is what an address asks for.
+type target interface {
+	load.Target
+	Close()
+}
+
+func (o *loading) target(out io.Writer) (target, error) {
+	if !strings.HasPrefix(o.http.URL, "sip:") {
+		return load.NewHTTP(o.http)
+	}
+	calls, err := sipua.NewCalls(sipua.CallsOptions{URL: o.http.URL, Callers: o.http.Sources, T1: transaction.Standard().T1})
+	return telling{calls, out}, err
+}
+
+// telling says at its end which calls did not end well.
+type telling struct {
+	*sipua.Calls
+	out io.Writer
+}
+
+func (t telling) Close() {
+	t.Calls.Close()
+	if n := t.Unended(); n > 0 {
+		fmt.Fprintf(t.out, "%d calls: the BYE was not answered 200\n", n)
+	}
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -58,6 +58,7 @@
 	Steady  bool          // evenly spaced, in place of Poisson
 	Open    int           // requests at once at most; one beyond is not sent, and voids the run
 	TimeOut time.Duration // of each request
+	Aim     time.Duration // served requests that take longer don't count as within; 0: all do
 	Seed    uint64
 	Record  *Recorder // if set, figures can be read from it while the run lasts
 }
@@ -67,6 +68,7 @@
 	Sent    uint64            `json:"sent"`
 	Ends    map[string]uint64 `json:"ends"`
 	Skipped uint64            `json:"skipped"` // not sent: too many open
+	Within  uint64            `json:"within"`  // served within the aim
 	Took    time.Duration     `json:"took"`
 	Void    string            `json:"void,omitempty"` // why the figures don't count
 	Rate    float64           `json:"rate"`           // answered a second
@@ -89,6 +91,8 @@
 		return fmt.Errorf("load: %d requests at once: 1 to %d", o.Open, mostOpen)
 	case o.For <= 0 || o.For > runMost:
 		return fmt.Errorf("load: for %v: above 0, %v at most", o.For, runMost)
+	case o.Aim < 0:
+		return fmt.Errorf("load: an aim of %v: 0 for none, or above", o.Aim)
 	case o.TimeOut <= 0 || o.TimeOut > longest:
 		return fmt.Errorf("load: time-out %v: above 0, %v at most", o.TimeOut, longest)
 	}
@@ -102,6 +106,7 @@
 	lag     *latency.Histogram
 	ends    [outcomes]uint64
 	sent    uint64
+	within  uint64
 }
 
 // NewRecorder makes one. Its memory does not grow with what it takes.
@@ -109,7 +114,7 @@
 	return &Recorder{latency: latency.New(figures), lag: latency.New(figures)}
 }
 
-func (r *Recorder) add(o Outcome, took, lag time.Duration) {
+func (r *Recorder) add(o Outcome, took, lag, aim time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sent++
@@ -117,6 +122,9 @@
 	r.lag.Record(lag)
 	if o == Served {
 		r.latency.Record(took)
+		if aim == 0 || took <= aim {
+			r.within++
+		}
 	}
 }
 
@@ -149,7 +157,7 @@
 
 func (r *Recorder) report(skipped uint64, took time.Duration) Report {
 	p := Report{
-		Sent: r.sent, Skipped: skipped, Took: took, Ends: map[string]uint64{}, Rate: float64(r.sent) / took.Seconds(),
+		Sent: r.sent, Skipped: skipped, Within: r.within, Took: took, Ends: map[string]uint64{}, Rate: float64(r.sent) / took.Seconds(),
 		P50: r.latency.Quantile(0.5), P90: r.latency.Quantile(0.9), P99: r.latency.Quantile(0.99), P999: r.latency.Quantile(0.999), Most: r.latency.Quantile(1),
 		LagP99: r.lag.Quantile(0.99),
 	}
@@ -176,7 +184,7 @@
 		clients.Go(func() {
 			for n := uint64(c); time.Since(began) < o.For && ctx.Err() == nil; n += uint64(o.Closed) {
 				sent := time.Now()
-				rec.add(ask(ctx, target, o.TimeOut, n, sent), time.Since(sent), 0)
+				rec.add(ask(ctx, target, o.TimeOut, n, sent), time.Since(sent), 0, o.Aim)
 			}
 		})
 	}
@@ -206,7 +214,7 @@
 		for d, ok := first, true; ok; d, ok = <-work {
 			lag := time.Since(d.when)
 			end := ask(ctx, target, o.TimeOut, d.n, d.when)
-			rec.add(end, time.Since(d.when), max(0, lag))
+			rec.add(end, time.Since(d.when), max(0, lag), o.Aim)
 		}
 	}
 	at := time.Duration(0)
--- a/internal/sip/bench_test.go
+++ b/internal/sip/bench_test.go
@@ -3,12 +3,10 @@
 import (
 	"net"
 	"runtime"
-	"slices"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
+	"otterstep/internal/load"
 	"otterstep/internal/sip/transaction"
 	"otterstep/internal/standin/sipua"
 )
@@ -41,61 +39,29 @@
 	return f.front.Listen()["udp"], f.servers, f
 }
 
-// callers run whole calls (INVITE, 180, 200, ACK, BYE, 200) through addr: as fast as they
-// can with rate 0, else at that many a second whatever comes back. It gives calls a
-// second and the setup times of those that were answered.
-func callers(b *testing.B, addr string, rate float64, d time.Duration) (perSecond float64, setups []time.Duration, begun int64) {
+// calls runs calls (INVITE, 180, 200, ACK, BYE, 200) through addr: by 32 clients that each
+// make one after the other, or with a rate at that many a second whatever comes back.
+func calls(b *testing.B, addr string, rate float64, d time.Duration) load.Report {
 	b.Helper()
-	const many = 8
-	var mu sync.Mutex
-	var all, calls sync.WaitGroup
-	var ended, started atomic.Int64
-	end := time.Now().Add(d)
-	for range many {
-		c, err := sipua.NewCaller(sipua.Options{Proxy: addr, Transport: "udp", T1: transaction.Standard().T1})
-		if err != nil {
-			b.Fatal(err)
-		}
-		defer c.Close()
-		call := func() {
-			at := time.Now()
-			started.Add(1)
-			tx := c.Send(sipua.Request{Method: "INVITE"})
-			if tx.Final(5*time.Second) != 200 {
-				return
-			}
-			mu.Lock()
-			setups = append(setups, time.Since(at))
-			mu.Unlock()
-			q := tx.Dialog()
-			q.Method = "BYE"
-			if c.Send(q).Final(5*time.Second) == 200 && time.Now().Before(end) {
-				ended.Add(1)
-			}
-		}
-		if rate == 0 {
-			for range 4 {
-				all.Go(func() {
-					for time.Now().Before(end) {
-						call()
-					}
-				})
-			}
-			continue
-		}
-		all.Go(func() {
-			every := time.NewTicker(time.Duration(many / rate * float64(time.Second)))
-			defer every.Stop()
-			for time.Now().Before(end) {
-				<-every.C
-				calls.Go(call)
-			}
-		})
+	c, err := sipua.NewCalls(sipua.CallsOptions{URL: "sip:" + addr, T1: transaction.Standard().T1, Whole: rate == 0})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	o := load.Options{For: d, Steady: true, Open: 20_000, TimeOut: 5 * time.Second, Aim: 500 * time.Millisecond}
+	if rate == 0 {
+		o.Closed = 32
+	} else {
+		o.Rate = func(time.Duration) float64 { return rate }
+	}
+	r, err := load.Run(b.Context(), c, o)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if r.Void != "" {
+		b.Log("void: " + r.Void)
 	}
-	all.Wait()
-	calls.Wait()
-	slices.Sort(setups)
-	return float64(ended.Load()) / d.Seconds(), setups, started.Load()
+	return r
 }
 
 // BenchmarkSIPCalls gives calls a second at most, setup times at half and nine tenths of
@@ -103,41 +69,30 @@
 // hangs, for the front and for a minimal proxy with a random server.
 func BenchmarkSIPCalls(b *testing.B) {
 	const span = 4 * time.Second
+	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 	for _, plain := range []bool{false, true} {
 		name := map[bool]string{false: "otterstep", true: "plain"}[plain]
 		b.Run(name, func(b *testing.B) {
 			for range b.N {
 				addr, servers, _ := benchDesk(b, plain, 4)
-				most, _, _ := callers(b, addr, 0, span)
-				b.ReportMetric(most, "calls/s")
+				most := calls(b, addr, 0, span)
+				best := float64(most.Ends["served"]) / span.Seconds()
+				b.ReportMetric(best, "calls/s")
 				for _, part := range []float64{0.5, 0.9} {
-					_, setups, _ := callers(b, addr, most*part, span)
+					r := calls(b, addr, best*part, span)
 					label := map[float64]string{0.5: "-at-50%", 0.9: "-at-90%"}[part]
-					b.ReportMetric(quantile(setups, 0.5), "ms-p50"+label)
-					b.ReportMetric(quantile(setups, 0.99), "ms-p99"+label)
+					b.ReportMetric(ms(r.P50), "ms-p50"+label)
+					b.ReportMetric(ms(r.P99), "ms-p99"+label)
 				}
 				servers[0].Hang(true)
-				_, setups, begun := callers(b, addr, 100, 2*span)
-				within := 0
-				for _, s := range setups {
-					if s <= 500*time.Millisecond {
-						within++
-					}
-				}
-				b.ReportMetric(100*float64(within)/float64(begun), "%-within-aim-one-hangs")
+				r := calls(b, addr, 100, 2*span)
+				b.ReportMetric(100*float64(r.Within)/float64(r.Sent), "%-within-aim-one-hangs")
 				servers[0].Hang(false)
 			}
 		})
 	}
 }
 
-func quantile(sorted []time.Duration, q float64) float64 {
-	if len(sorted) == 0 {
-		return -1
-	}
-	return float64(sorted[int(q*float64(len(sorted)-1))].Microseconds()) / 1000
-}
-
 // heap gives the bytes of live objects and stacks.
 func heap() uint64 {
 	runtime.GC()
