Experiments: match, progress on a terminal; a second answer and a cold push seen on sockets

Need: nothing said how far virtual time may be believed but one test and a table made by hand; long tables showed nothing for minutes; on sockets net/http drops a second answer, so that the ledger could not see one. Change: experiment match plays files in both modes and exits 1 beyond stated factors; a bar (schollz/progressbar) on terminals only; stand-in clients count answers on each connection; the careless node answers keyed requests twice and pushes a cold box over, both seen.

--- a/cmd/otterlab/experiment.go
+++ b/cmd/otterlab/experiment.go
@@ -33,11 +33,16 @@
 	onSockets = "real"
 )
 
-// play plays one file, in virtual time or on sockets; there one run after the other.
-func (o *playing) play(ctx context.Context, x *experiment.Experiment, policy, node string) ([]experiment.Run, error) {
+// play plays one file, in virtual time or on sockets.
+func (o *playing) play(ctx context.Context, x *experiment.Experiment, policy, node string, p progress) ([]experiment.Run, error) {
 	if o.mode == simulated {
-		return x.With(policy).Play(ctx, o.seed, o.runs)
+		return x.With(policy).Told(p.played).Play(ctx, o.seed, o.runs)
 	}
+	return o.onSockets(ctx, x, node, p)
+}
+
+// onSockets plays a file with real instances of the node, one run after the other.
+func (o *playing) onSockets(ctx context.Context, x *experiment.Experiment, node string, p progress) ([]experiment.Run, error) {
 	var all []experiment.Run
 	for n := range o.runs {
 		l := &options{}
@@ -47,6 +52,7 @@
 		err := l.inDir(func() error {
 			run, err := lab.Play(ctx, x, l.lab, o.seed+uint64(n))
 			all = append(all, run)
+			p.played()
 			return err
 		})
 		if err != nil {
@@ -121,7 +127,7 @@
 			return errors.Join(errs...)
 		},
 	}
-	c.AddCommand(check, runCommand(), compareCommand(), tableCommand(), sweepCommand(), huntCommand(), replayCommand())
+	c.AddCommand(check, runCommand(), compareCommand(), tableCommand(), matchCommand(), sweepCommand(), huntCommand(), replayCommand())
 	return c
 }
 
@@ -132,12 +138,14 @@
 		RunE: func(c *cobra.Command, files []string) error {
 			held := true
 			var parts []report.Part
+			p := newProgress(c, len(files)*o.runs)
+			defer p.close()
 			for _, file := range files {
 				x, err := experiment.Load(file)
 				if err != nil {
 					return err
 				}
-				all, err := o.play(c.Context(), x, o.policy, o.node)
+				all, err := o.play(c.Context(), x, o.policy, o.node, p)
 				if err != nil {
 					return err
 				}
@@ -180,12 +188,14 @@
 		RunE: func(c *cobra.Command, files []string) error {
 			var both [2][]experiment.Run
 			var parts []report.Part
+			p := newProgress(c, 2*o.runs)
+			defer p.close()
 			for i, file := range files {
 				x, err := experiment.Load(file)
 				if err != nil {
 					return err
 				}
-				if both[i], err = o.play(c.Context(), x, []string{o.policy, o.other}[i], []string{o.node, o.otherNode}[i]); err != nil {
+				if both[i], err = o.play(c.Context(), x, []string{o.policy, o.other}[i], []string{o.node, o.otherNode}[i], p); err != nil {
 					return err
 				}
 				parts = append(parts, report.Part{Title: []string{"A: ", "B: "}[i] + title(file), Experiment: x, Runs: both[i]})
@@ -211,24 +221,69 @@
 		RunE: func(c *cobra.Command, files []string) error {
 			var names []string
 			var all []*experiment.Experiment
+			p := newProgress(c, len(files)*len(sim.Policies)*o.runs)
+			defer p.close()
 			for _, file := range files {
 				x, err := experiment.Load(file)
 				if err != nil {
 					return err
 				}
-				names, all = append(names, title(file)), append(all, x)
+				names, all = append(names, title(file)), append(all, x.Told(p.played))
 			}
 			return experiment.Table(c.Context(), c.OutOrStdout(), names, all, o.seed, o.runs)
 		},
 	}, 5)
 }
 
+func matchCommand() *cobra.Command {
+	o := newPlaying()
+	return o.flags(&cobra.Command{
+		Use: "match FILE...", Short: "Play files in virtual time and on real sockets; exit 1 if their figures are too far apart", Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			var names []string
+			var all []experiment.Match
+			p := newProgress(c, 2*len(files)*o.runs)
+			defer p.close()
+			failed := false
+			for _, file := range files {
+				x, err := experiment.Load(file)
+				if err != nil {
+					return err
+				}
+				virtual, err := x.Told(p.played).Play(c.Context(), o.seed, o.runs)
+				if err != nil {
+					return err
+				}
+				real, err := o.onSockets(c.Context(), x, o.node, p)
+				if err != nil {
+					return fmt.Errorf("%s: %w", file, err)
+				}
+				m := experiment.Matched(virtual, real)
+				failed = failed || len(m.Failed) > 0
+				names, all = append(names, title(file)), append(all, m)
+			}
+			var err error
+			if o.output == "json" {
+				err = json.NewEncoder(c.OutOrStdout()).Encode(map[string]any{"names": names, "matches": all})
+			} else {
+				err = experiment.PrintMatches(c.OutOrStdout(), names, all)
+			}
+			if err == nil && failed {
+				err = errors.New("virtual time and sockets are too far apart")
+			}
+			return err
+		},
+	}, 3)
+}
+
 func sweepCommand() *cobra.Command {
 	o := newPlaying()
 	return o.flags(&cobra.Command{
 		Use: "sweep FILE KEY VALUE...", Short: `Play a file with each of several values for one key, such as "load.rate" or "fault[1].amount"`, Args: cobra.MinimumNArgs(3),
 		RunE: func(c *cobra.Command, args []string) error {
-			steps, err := experiment.Sweep(c.Context(), args[0], args[1], args[2:], o.policy, o.seed, o.runs)
+			p := newProgress(c, len(args[2:])*o.runs)
+			defer p.close()
+			steps, err := experiment.Sweep(c.Context(), args[0], args[1], args[2:], o.policy, o.seed, o.runs, p.played)
 			if err != nil {
 				return err
 			}
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -118,6 +118,7 @@
 	File    File
 	Options sim.Options
 	path    string
+	played  func() // told of each run's end, if set
 }
 
 // Load reads and checks a file, and says all that is wrong with it.
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -33,6 +33,9 @@
 		workers.Go(func() {
 			for n := range next {
 				all[n], errs[n] = x.play(seed + uint64(n))
+				if x.played != nil {
+					x.played()
+				}
 			}
 		})
 	}
@@ -57,6 +60,14 @@
 	return all, nil
 }
 
+// Told gives the experiment with a function that is told of each run's end, on any
+// goroutine.
+func (x *Experiment) Told(played func()) *Experiment {
+	other := *x
+	other.played = played
+	return &other
+}
+
 func (x *Experiment) play(seed uint64) (Run, error) {
 	w, err := sim.New(x.Options, seed)
 	if err != nil {
--- a/internal/experiment/search_test.go
+++ b/internal/experiment/search_test.go
@@ -107,7 +107,7 @@
 
 func TestSweep(t *testing.T) {
 	file := "../../experiments/hang.toml"
-	steps, err := Sweep(t.Context(), file, "fleet.parallel", []string{"4", "1"}, "ours", 1, 1)
+	steps, err := Sweep(t.Context(), file, "fleet.parallel", []string{"4", "1"}, "ours", 1, 1, func() {})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -121,7 +121,7 @@
 	for key, value := range map[string]string{
 		"load.speed": "1", "fault[9].amount": "1", "load": "1", "about.x": "1", "class[1].effect": "rarely", "fault[x].at": "1s", "fleet.nodes": "0.5",
 	} {
-		if _, err := Sweep(t.Context(), file, key, []string{value}, "ours", 1, 1); err == nil || !strings.Contains(err.Error(), file) {
+		if _, err := Sweep(t.Context(), file, key, []string{value}, "ours", 1, 1, func() {}); err == nil || !strings.Contains(err.Error(), file) {
 			t.Errorf("%s = %s: %v", key, value, err)
 		}
 	}
--- a/internal/experiment/sweep.go
+++ b/internal/experiment/sweep.go
@@ -21,8 +21,9 @@
 
 // Sweep plays a file with each of several values for one key, such as "load.rate" or
 // "fault[1].amount", and the same seeds. A key that the file may not have, or a value
-// that it does not take, is an error before anything is played.
-func Sweep(ctx context.Context, path, key string, values []string, policy string, seed uint64, runs int) ([]Step, error) {
+// that it does not take, is an error before anything is played. played is told of each run's
+// end.
+func Sweep(ctx context.Context, path, key string, values []string, policy string, seed uint64, runs int, played func()) ([]Step, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("sweep: %w", err)
@@ -42,7 +43,7 @@
 	}
 	var steps []Step
 	for i, x := range all {
-		got, err := x.With(policy).Play(ctx, seed, runs)
+		got, err := x.With(policy).Told(played).Play(ctx, seed, runs)
 		if err != nil {
 			return nil, err
 		}
@@ -100,11 +101,10 @@
 
 // sums are the figures of several seeds in one.
 type sums struct {
-	share, low, high float64
-	p50, p99         time.Duration // means
-	attempts         float64
-	refused, failed  float64 // of those counted
-	broken           int     // runs that broke a rule
+	Figures
+	low, high       float64 // of the share
+	refused, failed float64 // of those counted
+	broken          int     // runs that broke a rule
 }
 
 func sum(runs []Run) sums {
@@ -113,9 +113,9 @@
 	n := float64(len(runs))
 	for i, r := range runs {
 		each[i] = r.Share
-		s.p50 += r.Results.P50 / time.Duration(len(runs))
-		s.p99 += r.Results.P99 / time.Duration(len(runs))
-		s.attempts += r.Results.PerRequest() / n
+		s.P50 += r.Results.P50 / time.Duration(len(runs))
+		s.P99 += r.Results.P99 / time.Duration(len(runs))
+		s.Attempts += r.Results.PerRequest() / n
 		counted := float64(max(1, r.Results.Counted))
 		s.refused += float64(r.Results.Ends["refused"]) / counted / n
 		s.failed += float64(r.Results.Counted-r.Results.Ends["refused"]-r.Results.Ends["served"]) / counted / n
@@ -123,7 +123,7 @@
 			s.broken++
 		}
 	}
-	s.share, s.low, s.high = Interval(each, runs[0].Seed)
+	s.Share, s.low, s.high = Interval(each, runs[0].Seed)
 	return s
 }
 
@@ -133,8 +133,8 @@
 	fmt.Fprintf(t, "%s\tWITHIN AIM\t95%% INTERVAL\tP50\tP99\tATTEMPTS\tREFUSED\tFAILED\tBROKEN\n", strings.ToUpper(key))
 	for _, step := range steps {
 		s := sum(step.Runs)
-		fmt.Fprintf(t, "%s\t%.4f\t%.4f to %.4f\t%v\t%v\t%.3f\t%.4f\t%.4f\t%d\n", step.Value, s.share, s.low, s.high, s.p50, s.p99,
-			s.attempts, s.refused, s.failed, s.broken)
+		fmt.Fprintf(t, "%s\t%.4f\t%.4f to %.4f\t%v\t%v\t%.3f\t%.4f\t%.4f\t%d\n", step.Value, s.Share, s.low, s.high, s.P50, s.P99,
+			s.Attempts, s.refused, s.failed, s.broken)
 	}
 	return t.Flush()
 }
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -38,6 +38,7 @@
 	mu    sync.Mutex
 	nodes []*frontNode
 	next  int
+	twice func(id string) // of a request that was answered once more
 }
 
 type frontNode struct {
@@ -52,11 +53,22 @@
 	for _, addr := range addrs {
 		f.nodes = append(f.nodes, &frontNode{addr: addr, client: &http.Transport{
 			MaxIdleConnsPerHost: 64, IdleConnTimeout: 20 * time.Second, DisableCompression: true,
+			DialContext: countAnswers(new(net.Dialer).DialContext, f.answeredTwice),
 		}})
 	}
 	return f
 }
 
+// answeredTwice tells the clients, if there are any, of a further answer.
+func (f *Front) answeredTwice(id string) {
+	f.mu.Lock()
+	twice := f.twice
+	f.mu.Unlock()
+	if twice != nil {
+		twice(id)
+	}
+}
+
 // Run follows the nodes' /up until ctx ends.
 func (f *Front) Run(ctx context.Context) {
 	var asking sync.WaitGroup
@@ -184,6 +196,9 @@
 // NewClients makes them; Run sends.
 func NewClients(opt ClientOptions, f *Front, l *Ledger) *Clients {
 	c := &Clients{opt: opt, front: f, ledger: l, record: load.NewRecorder(), done: make(chan struct{})}
+	f.mu.Lock()
+	f.twice = func(id string) { l.Answered(id, "", Failed, time.Now()) }
+	f.mu.Unlock()
 	sum := 0.0
 	for i := range opt.Tenants {
 		sum += math.Pow(float64(i+1), -opt.Skew)
@@ -319,7 +334,10 @@
 	for again := false; ; again = true {
 		reused, answered := false, false
 		trace := httptrace.ClientTrace{
-			GotConn:              func(i httptrace.GotConnInfo) { reused = i.Reused },
+			GotConn: func(i httptrace.GotConnInfo) {
+				reused = i.Reused
+				i.Conn.(*answers).asked(id)
+			},
 			GotFirstResponseByte: func() { answered = true },
 		}
 		r, err := newRequest(httptrace.WithClientTrace(ctx, &trace), n.addr, id, class, tenant, key, left)
--- a/internal/standin/lab/play_test.go
+++ b/internal/standin/lab/play_test.go
@@ -136,7 +136,8 @@
 }
 
 // careless is a node with faults planted: it goes by the first list that it got, whatever
-// it hears later, sends each request to the first server there, and unsafe ones twice.
+// it hears later, sends each request to the first server there, unsafe ones twice, and
+// answers keyed ones twice.
 func careless(ctx context.Context) error {
 	cfg, err := node.LoadConfig(os.Getenv("PROXY_CONFIG"))
 	if err != nil {
@@ -176,7 +177,23 @@
 		if strings.HasPrefix(r.URL.Path, "/booking/") {
 			send(httptest.NewRecorder())
 		}
-		send(w)
+		if !strings.HasPrefix(r.URL.Path, "/rate/") {
+			send(w)
+			return
+		}
+		answer := httptest.NewRecorder()
+		send(answer)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		var text bytes.Buffer
+		one := answer.Result()
+		one.ContentLength = int64(answer.Body.Len())
+		if one.Write(&text) == nil {
+			_, _ = conn.Write(bytes.Repeat(text.Bytes(), 2)) // a client that has gone gets none
+		}
 	})}
 	go s.ListenAndServe()
 	for every := time.NewTicker(100 * time.Millisecond); ; {
@@ -193,19 +210,33 @@
 
 // Faults of a node are seen on sockets as they are in virtual time.
 func TestLedgerSeesACarelessNode(t *testing.T) {
-	text := strings.Replace(played, "for = \"7s\"", "for = \"4s\"", 1)
-	text, _, _ = strings.Cut(text, "[[fault]]")
-	x := loadText(t, strings.Replace(text, "rate = 80.0", "rate = 40.0", 1)+"[[fault]]\nat = \"1500ms\"\nwhat = \"drain\"\nservers = [0]\n")
-	opt := testOptions(t.TempDir())
-	opt.NodeEnv = map[string]string{"OTTERLAB_ROLE": "careless"}
-	r, err := Play(t.Context(), x, opt, 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, b := range []ledger.Breach{ledger.RanTwice, ledger.AfterDrain} {
-		if r.Results.Broken[b] == 0 || len(r.Failed) == 0 {
-			t.Errorf("not seen: %s; %v", b, r.Results.Broken)
-		}
+	calm, _, _ := strings.Cut(strings.Replace(played, "for = \"7s\"", "for = \"4s\"", 1), "[[fault]]")
+	for name, c := range map[string]struct {
+		text string
+		want []ledger.Breach
+	}{
+		"drain": {
+			strings.Replace(calm, "rate = 80.0", "rate = 40.0", 1) + "[[fault]]\nat = \"1500ms\"\nwhat = \"drain\"\nservers = [0]\n",
+			[]ledger.Breach{ledger.RanTwice, ledger.AfterDrain, ledger.SecondAnswer},
+		},
+		"cold": {
+			strings.NewReplacer("rate = 80.0", "rate = 150.0", "zones = 2", "zones = 2\ncold = true").Replace(calm),
+			[]ledger.Breach{ledger.PushedOver},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			opt := testOptions(t.TempDir())
+			opt.NodeEnv = map[string]string{"OTTERLAB_ROLE": "careless"}
+			r, err := Play(t.Context(), loadText(t, c.text), opt, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range c.want {
+				if r.Results.Broken[b] == 0 || len(r.Failed) == 0 {
+					t.Errorf("not seen: %s; %v", b, r.Results.Broken)
+				}
+			}
+		})
 	}
 }
 
--- a/internal/standin/sipua/calls.go
+++ b/internal/standin/sipua/calls.go
@@ -140,4 +140,3 @@
 }
 
 var _ load.Target = (*Calls)(nil)
-
