Core: an answer may go to the client while it comes, as the request's only one

Need: the ordinary HTTP front streams answers; the core knew whole answers only, and cut what came at the deadline. Change: Turn.Pass claims the one final answer for an attempt, atomically against the deadline, other attempts and a client that leaves; from then on the attempt ends by itself.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -57,6 +57,15 @@
 // Begin claims the right to write the request; false once the loop gave the attempt up.
 func (t Turn) Begin() bool { return t.attempt.Begin() }
 
+// Pass claims the right to give the client the answer while it comes; see Attempt.Pass.
+func (t Turn) Pass() bool {
+	if !t.attempt.Pass() {
+		return false
+	}
+	t.loop.post(func() { t.loop.machine.Passed(t.loop.clock.Now(), t.attempt) })
+	return true
+}
+
 // Taken is Machine.Taken.
 func (t Turn) Taken() {
 	t.loop.post(func() { t.loop.machine.Taken(t.loop.clock.Now(), t.attempt) })
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -24,6 +24,9 @@
 	answered bool
 	attempts []*Attempt
 	out      int
+	// claimed is set by whoever gives the one final answer: the Machine, or the attempt
+	// whose answer goes to the client while it comes.
+	claimed atomic.Bool
 }
 
 // The phases of an attempt's write. They are shared with its goroutine, so that
@@ -32,6 +35,7 @@
 const (
 	unsent int32 = iota
 	writing
+	passing // its answer goes to the client: it ends by itself
 	abandoned
 )
 
@@ -54,6 +58,15 @@
 // may be called on any goroutine.
 func (a *Attempt) Begin() bool { return a.phase.CompareAndSwap(unsent, writing) }
 
+// Pass claims the right to give the client this attempt's answer while it comes, from its
+// first byte on: it is the request's one final answer, and the client's time is no limit to
+// it any more. It is false once the Machine gave the attempt up, or the request was
+// answered otherwise; then none of it may go to the client. Begin comes first. It may be
+// called on any goroutine; tell Passed next.
+func (a *Attempt) Pass() bool {
+	return a.phase.CompareAndSwap(writing, passing) && !a.Pending.claimed.Swap(true)
+}
+
 // Act is a kind of action.
 type Act uint8
 
@@ -195,6 +208,19 @@
 	m.early(now, a, (*policy.Balancer).Started)
 }
 
+// Passed tells that an attempt's Pass was true: its request is answered, and tried nowhere
+// else. Finished follows when the answer has ended.
+func (m *Machine) Passed(now time.Duration, a *Attempt) {
+	m.step(now, func() {
+		if a.over {
+			return
+		}
+		m.answer(a.Pending, Answer{Kind: Served})
+		m.balancer.Started(m.now, a.Pending.id, a.index)
+		m.settle(a.Pending)
+	})
+}
+
 func (m *Machine) early(now time.Duration, a *Attempt, event func(*policy.Balancer, time.Duration, policy.RequestID, int)) {
 	m.step(now, func() {
 		if !a.over {
@@ -323,6 +349,7 @@
 func (m *Machine) left(r *Pending) {
 	if !r.answered {
 		r.answered = true
+		r.claimed.Store(true)
 		m.counts[r.class][Left]++
 		m.balancer.Left(m.now, r.id)
 		m.settle(r)
@@ -347,10 +374,14 @@
 }
 
 // abandon ends an attempt from this side. One that was not written yet can't
-// have run, and never will: its goroutine finds the phase changed.
+// have run, and never will: its goroutine finds the phase changed. One whose answer goes
+// to the client is left to end by itself.
 func (m *Machine) abandon(a *Attempt, status policy.Status) {
-	if a.phase.CompareAndSwap(unsent, abandoned) {
+	switch {
+	case a.phase.CompareAndSwap(unsent, abandoned):
 		status = policy.Moot
+	case !a.phase.CompareAndSwap(writing, abandoned) && a.phase.Load() == passing:
+		return
 	}
 	m.outcome(a, status, m.now)
 }
@@ -368,13 +399,19 @@
 	m.settle(r)
 }
 
-// answer gives the client its final answer; only the first one counts.
+// answer gives the client its final answer; only the first one counts. If an attempt has
+// claimed that for an answer that comes, it stands, whatever else has happened meanwhile.
 func (m *Machine) answer(r *Pending, a Answer) {
-	if !r.answered {
-		r.answered = true
-		m.counts[r.class][a.Kind]++
-		m.act(Action{Act: Respond, Pending: r, Answer: a})
+	if r.answered {
+		return
+	}
+	r.answered = true
+	if r.claimed.Swap(true) {
+		m.counts[r.class][Served]++
+		return
 	}
+	m.counts[r.class][a.Kind]++
+	m.act(Action{Act: Respond, Pending: r, Answer: a})
 }
 
 // settle forgets a request that is answered and has nothing out.
--- /dev/null
+++ b/internal/core/pass_test.go
@@ -0,0 +1,109 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"otterstep/policy"
+)
+
+// streaming plays servers whose answers come for longer than anybody's deadline, or that
+// fail before they begin one.
+type streaming struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	passed int
+	cut    bool // the Loop ended an attempt that had passed
+}
+
+func (m *streaming) chance(n int) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rng.IntN(n)
+}
+
+func (m *streaming) Attempt(ctx context.Context, _ Server, _ time.Duration, turn Turn) Reply {
+	if !turn.Begin() {
+		return Reply{Status: policy.Moot}
+	}
+	time.Sleep(time.Duration(m.chance(1100)) * time.Millisecond) // whatever ctx says: Pass must know
+	if m.chance(4) == 0 {
+		return Reply{Status: policy.Error}
+	}
+	if !turn.Pass() {
+		return Reply{Status: policy.Cancelled}
+	}
+	m.mu.Lock()
+	m.passed++
+	m.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		m.mu.Lock()
+		m.cut = true
+		m.mu.Unlock()
+		return Reply{Status: policy.Cancelled}
+	case <-time.After(5 * time.Second):
+	}
+	if m.chance(3) == 0 {
+		return Reply{Status: policy.Reset}
+	}
+	return Reply{Status: policy.OK}
+}
+
+// An answer that goes to the client while it comes is the request's only one, whatever the
+// deadline, other attempts or a client that leaves do meanwhile; and nothing cuts it off.
+func TestPassedAnswersAreTheOnlyOnes(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			l, stop := start(t, seed, 40)
+			defer stop()
+			rng := rand.New(rand.NewPCG(seed, 8))
+			var clients sync.WaitGroup
+			passed, answered := 0, 0
+			var mu sync.Mutex
+			for n := range 120 {
+				time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
+				m := &streaming{rng: rand.New(rand.NewPCG(seed, uint64(n)))}
+				answers := make(chan Answer, 2)
+				ticket, ok := l.Submit(Request{
+					Request: policy.Request{Class: n % 3}, Name: fmt.Sprint(n),
+					Deadline: l.Clock().Now() + time.Second, Message: m, Answers: answers,
+				})
+				if !ok {
+					t.Fatal("not taken")
+				}
+				leaves := rng.IntN(8) == 0
+				clients.Go(func() {
+					if leaves {
+						time.Sleep(100 * time.Millisecond)
+						l.Leave(ticket)
+					}
+					time.Sleep(10 * time.Second)
+					m.mu.Lock()
+					defer m.mu.Unlock()
+					mu.Lock()
+					defer mu.Unlock()
+					got := m.passed + len(answers)
+					if got > 1 || got == 0 && !leaves || m.cut {
+						t.Errorf("seed %d, request %d: %d passed, %d answers, cut %v", seed, n, m.passed, len(answers), m.cut)
+					}
+					passed += m.passed
+					answered += len(answers)
+				})
+			}
+			clients.Wait()
+			v, err := l.Inspect(t.Context())
+			if err != nil || v.Requests != 0 || v.Open != 0 || v.Out != 0 {
+				t.Errorf("seed %d: left behind: %+v, %v", seed, v, err)
+			}
+			if passed < 20 || answered < 5 {
+				t.Errorf("seed %d: %d passed, %d answered otherwise: too few to tell", seed, passed, answered)
+			}
+		})
+	}
+}
