--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,7 +67,7 @@
 	clients := newClients(cfg.Sockets - otherSockets - servers)
 	up := newUpstream(cfg.Site.ConnIdle, cfg.Site.ConnectTimeout, servers)
 	disco := newDiscovery(cfg.Discovery, set.ListAsked, cfg.Site.Zones, c, log)
-	l, err := core.New(core.Options{Settings: set, Seed: cfg.Seed, Clock: c, Watch: disco.watch, Drop: up.drop})
+	l, err := core.New(core.Options{Settings: set, Seed: cfg.Seed, Clock: c, Watch: disco.watch, Drop: up.pool.Drop})
 	if err != nil {
 		return err
 	}
@@ -104,7 +104,7 @@
 	go reloads.follow(background, cfg, func(addr string) { disco.move(background, addr) }, watcher.reloaded, log)
 	go func() {
 		for every := time.Tick(time.Second); background.Err() == nil; <-every {
-			up.sweep()
+			up.pool.Sweep()
 		}
 	}()
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -500,7 +500,7 @@
 func testCore(t *testing.T) (*core.Loop, *upstream) {
 	t.Helper()
 	up := testUpstream(t, 8)
-	l, err := core.New(core.Options{Settings: siteOf(t, settings).Settings, Seed: 1, Clock: core.NewClock(), Watch: func() {}, Drop: up.drop})
+	l, err := core.New(core.Options{Settings: siteOf(t, settings).Settings, Seed: 1, Clock: core.NewClock(), Watch: func() {}, Drop: up.pool.Drop})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/spoilt_test.go
+++ b/internal/node/spoilt_test.go
@@ -24,7 +24,8 @@
 		sent <- struct{}{}
 		return true
 	})
-	u := testUpstream(t, 8)
+	u := newUpstream(time.Hour, patience, 8)
+	t.Cleanup(u.pool.Close)
 	for i, m := range []*message{get(), push(), get(), push()} {
 		p := u.roundTrip(t.Context(), at(s.addr), m, time.Second, yes)
 		if want := m.header.Get("X-Correlation-Id"); string(p.body) != want {
@@ -33,7 +34,6 @@
 		if i == 1 { // from here on the bytes are there before the next request
 			<-sent
 			<-sent
-			u.settle()
 		}
 	}
 }
@@ -165,9 +165,8 @@
 		}
 	}
 	waitFor(t, "end of all connections but the last server's", func() bool {
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		return len(u.idle) <= 1 && u.open <= 1
+		open, _ := u.pool.Count()
+		return open <= 1
 	})
 	var v core.View
 	waitFor(t, "end of all timers", func() bool {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/conns"
 	"otterstep/internal/core"
 	"otterstep/policy"
 )
@@ -89,34 +90,22 @@
 // at is a server that has always stood at an address.
 func at(addr string) core.Server { return core.Server{Addr: addr} }
 
-// settle lets idle connections come of age, so that the next request may use one.
-func (u *upstream) settle() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for _, list := range u.idle {
-		for _, c := range list {
-			c.idleSince = c.idleSince.Add(-settleFor)
-		}
-	}
-}
-
 // yes lets an attempt be written.
 func yes() bool { return true }
 
+// testUpstream has connections settle at once.
 func testUpstream(t *testing.T, most int) *upstream {
-	u := newUpstream(time.Hour, patience, most)
-	t.Cleanup(func() {
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		for _, list := range u.idle {
-			for _, c := range list {
-				u.close(c)
-			}
-		}
-	})
+	u := &upstream{conns.New(conns.Options{IdleFor: time.Hour, Connect: patience, Most: most})}
+	t.Cleanup(u.pool.Close)
 	return u
 }
 
+// open gives the connections that an upstream has.
+func (u *upstream) open() int {
+	n, _ := u.pool.Count()
+	return n
+}
+
 func TestOutcomeOfWhatComesBack(t *testing.T) {
 	spare := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
 	head := func(lines string) string { return "HTTP/1.1 200 OK\r\n" + lines + "\r\n\r\nhello" }
@@ -163,8 +152,8 @@
 		t.Run(name, func(t *testing.T) {
 			s, u := newServer(t, says(c.text, c.keep)), testUpstream(t, 8)
 			p := u.roundTrip(t.Context(), at(s.addr), get(), time.Second, yes)
-			if p.status != c.status || len(u.idle[at(s.addr)]) != c.pooled || u.open != c.pooled {
-				t.Errorf("status %d, %d kept, %d open; want %d, %d kept", p.status, len(u.idle[at(s.addr)]), u.open, c.status, c.pooled)
+			if open, kept := u.pool.Count(); p.status != c.status || kept != c.pooled || open != c.pooled {
+				t.Errorf("status %d, %d kept, %d open; want %d, %d kept", p.status, kept, open, c.status, c.pooled)
 			}
 			if want := map[bool]string{true: "hello"}[c.status == policy.OK]; string(p.body) != want {
 				t.Errorf("body %q, want %q", p.body, want)
@@ -183,8 +172,8 @@
 	}
 	l.Close()
 	u := testUpstream(t, 8)
-	if p := u.roundTrip(t.Context(), at(l.Addr().String()), push(), time.Second, yes); p.status != policy.ConnectFailed || u.open != 0 {
-		t.Errorf("status %d, %d open; want could not connect, 0", p.status, u.open)
+	if p := u.roundTrip(t.Context(), at(l.Addr().String()), push(), time.Second, yes); p.status != policy.ConnectFailed || u.open() != 0 {
+		t.Errorf("status %d, %d open; want could not connect, 0", p.status, u.open())
 	}
 }
 
@@ -227,17 +216,16 @@
 	}
 	defer l.Close()
 	u := testUpstream(t, 8)
-	c, err := u.get(t.Context(), at(l.Addr().String()))
+	c, err := u.pool.Get(t.Context(), at(l.Addr().String()))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := c.CloseWrite(); err != nil { // what is written from now on fails
+	if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil { // what is written from now on fails
 		t.Fatal(err)
 	}
-	u.put(c, true)
-	u.settle()
-	if p := u.roundTrip(t.Context(), at(l.Addr().String()), push(), time.Second, yes); p.status != policy.ConnectFailed || u.open != 0 {
-		t.Errorf("status %d, %d open; want could not connect, 0", p.status, u.open)
+	u.pool.Put(c, true)
+	if p := u.roundTrip(t.Context(), at(l.Addr().String()), push(), time.Second, yes); p.status != policy.ConnectFailed || u.open() != 0 {
+		t.Errorf("status %d, %d open; want could not connect, 0", p.status, u.open())
 	}
 }
 
@@ -256,7 +244,6 @@
 			if p := u.roundTrip(t.Context(), at(s.addr), m, time.Second, yes); p.status != policy.OK {
 				t.Fatalf("status %d, want served", p.status)
 			}
-			u.settle()
 			if p := u.roundTrip(t.Context(), at(s.addr), m, time.Second, yes); p.status != policy.Reset {
 				t.Errorf("status %d, want reset", p.status)
 			}
@@ -267,44 +254,6 @@
 	}
 }
 
-// Guards against sending on a connection that the server has closed meanwhile: a
-// close that was seen in time costs no attempt.
-func TestConnectionThatTheServerClosedIsNotUsed(t *testing.T) {
-	s, u := newServer(t, says(ok("x"), false)), testUpstream(t, 8)
-	for range 2 {
-		if p := u.roundTrip(t.Context(), at(s.addr), push(), time.Second, yes); p.status != policy.OK {
-			t.Fatalf("status %d, want served", p.status)
-		}
-		waitFor(t, "close by the server", func() bool {
-			u.mu.Lock()
-			defer u.mu.Unlock()
-			return !u.idle[at(s.addr)][0].quiet()
-		})
-		u.settle()
-	}
-	if n := s.requests.Load(); n != 2 {
-		t.Errorf("%d requests came, want 2", n)
-	}
-	if u.sweep(); u.open != 0 || len(u.idle) != 0 {
-		t.Errorf("%d connections open after a sweep, want 0", u.open)
-	}
-}
-
-func TestOldIdleConnectionIsRetired(t *testing.T) {
-	s, u := newServer(t, says(ok("x"), true)), testUpstream(t, 8)
-	for range 2 {
-		u.roundTrip(t.Context(), at(s.addr), get(), time.Second, yes)
-		u.mu.Lock()
-		for _, c := range u.idle[at(s.addr)] {
-			c.idleSince = c.idleSince.Add(-u.idleFor)
-		}
-		u.mu.Unlock()
-	}
-	if n := s.conns.Load(); n != 2 {
-		t.Errorf("%d connections, want 2", n)
-	}
-}
-
 // Guards against an attempt going out after the loop gave it up.
 func TestNothingIsWrittenOnceGivenUp(t *testing.T) {
 	s, u := newServer(t, says(ok("x"), true)), testUpstream(t, 8)
@@ -312,7 +261,6 @@
 		t.Errorf("status %d, want never sent", p.status)
 	}
 	// The connection is as good as new; the next request is the first on it.
-	u.settle()
 	if p := u.roundTrip(t.Context(), at(s.addr), push(), time.Second, yes); p.status != policy.OK {
 		t.Errorf("status %d, want served", p.status)
 	}
@@ -344,8 +292,8 @@
 	if p := <-done; p.status != policy.OK {
 		t.Errorf("status %d, want served in the evicted one's place", p.status)
 	}
-	if u.open != 1 {
-		t.Errorf("%d open, want 1", u.open)
+	if u.open() != 1 {
+		t.Errorf("%d open, want 1", u.open())
 	}
 }
 
