--- a/cmd/otterstep/main.go
+++ b/cmd/otterstep/main.go
@@ -2,6 +2,9 @@
 // that PROXY_CONFIG names; SIGHUP makes it read that file again, SIGTERM and SIGINT
 // make it drain and exit with 0. With -operator it reads the operator's file too,
 // with -check it says what is wrong with both and starts nothing.
+//
+// "otterstep serve" needs none of these: it serves ordinary HTTP from the servers that it is
+// given.
 package main
 
 import (
@@ -14,11 +17,15 @@
 	"os/signal"
 	"syscall"
 
+	"otterstep/internal/cli"
 	"otterstep/internal/node"
 	"otterstep/internal/operator"
 )
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == "serve" {
+		os.Exit(cli.Run(serveCommand()))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	operatorFile := flag.String("operator", "", "the operator's `file`; none leaves all that it could switch on off")
--- /dev/null
+++ b/cmd/otterstep/serve.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"otterstep/internal/core"
+	"otterstep/internal/listed"
+	"otterstep/internal/tomlfile"
+	"otterstep/internal/web"
+)
+
+// serveCommand puts any web service behind the decision module, without the platform.
+func serveCommand() *cobra.Command {
+	root := &cobra.Command{Use: "otterstep"}
+	listen, servers, file, check := "", []string(nil), "", false
+	c := &cobra.Command{
+		Use: "serve --listen ADDRESS:PORT --server ADDRESS:PORT...", Short: "Serve ordinary HTTP from servers, until SIGTERM drains it",
+		Long: "With --file the listeners and all else stand in a file, as [[web]] tables; see docs/operate/web.md.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			all, err := serving(listen, servers, file)
+			if err != nil || check {
+				return err
+			}
+			return serve(c.Context(), all, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&listen, "listen", "", "`address:port` for clients")
+	f.StringArrayVar(&servers, "server", nil, "`address:port` of a server; give one for each")
+	f.StringVar(&file, "file", "", "`file` with [[web]] tables, in place of the two")
+	f.BoolVar(&check, "check", false, "say all that is wrong, and serve nothing")
+	c.MarkFlagsMutuallyExclusive("file", "listen")
+	c.MarkFlagsMutuallyExclusive("file", "server")
+	c.MarkFlagsOneRequired("file", "listen")
+	root.AddCommand(c)
+	return root
+}
+
+// serving gives what is to be served, checked.
+func serving(listen string, servers []string, path string) ([]web.Config, error) {
+	var file struct {
+		Web []web.Config `toml:"web"`
+	}
+	if path == "" {
+		one := web.Config{Listen: listen}
+		for i, s := range servers {
+			one.Servers = append(one.Servers, listed.Server{Name: fmt.Sprint("s", i+1), Address: s})
+		}
+		file.Web = []web.Config{one}
+		f := tomlfile.Parse("command line", nil, &struct{}{})
+		web.CheckAll(f, file.Web)
+		return file.Web, f.Err()
+	}
+	f, err := tomlfile.Load(path, &file)
+	if err != nil {
+		return nil, err
+	}
+	web.CheckAll(f, file.Web)
+	if len(file.Web) == 0 {
+		f.Bad("web", "nothing to serve: no [[web]]")
+	}
+	return file.Web, f.Err()
+}
+
+// serve carries traffic until ctx ends, and drains then.
+func serve(ctx context.Context, all []web.Config, log *slog.Logger) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	fronts, err := web.Start(running, all, rand.Uint64(), core.NewClock(), log)
+	if err != nil {
+		return err
+	}
+	select {
+	case err = <-fronts.Failed():
+	case <-ctx.Done():
+		log.Info("draining")
+		fronts.Drain(running)
+	}
+	stop()
+	fronts.Wait()
+	log.Info("stopped")
+	return err
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -60,6 +60,26 @@
 	Memory      Memory                      `json:"memory"`
 	Counts      map[string]map[string]int64 `json:"counts"` // by class and outcome, since the start
 	SIP         *SIP                        `json:"sip,omitempty"`
+	Web         []Web                       `json:"web,omitempty"`
+}
+
+// Web is a front for ordinary HTTP. Counts are since the start.
+type Web struct {
+	Name        string                      `json:"name"`
+	Listen      string                      `json:"listen"`
+	Streams     int64                       `json:"streams"` // answers on their way
+	Tunnels     int64                       `json:"tunnels"`
+	Cut         int64                       `json:"cut"`         // answers that broke after they had begun
+	Gone        int64                       `json:"gone"`        // clients that left before the end
+	TurnedDown  int64                       `json:"turned_down"` // requests that could not be used
+	Rules       []int64                     `json:"rules"`       // hits of each, and of none
+	Connections int                         `json:"connections"` // to servers, over HTTP/1.1
+	Idle        int                         `json:"idle"`        // of these
+	Kept        int64                       `json:"kept"`        // bytes of bodies kept for further attempts
+	Open        int                         `json:"open"`        // requests without their final answer
+	Held        int                         `json:"held"`
+	Servers     []Server                    `json:"servers"`
+	Counts      map[string]map[string]int64 `json:"counts"`
 }
 
 // SIP is the front for calls, where it is on. Counts are since the start.
--- a/internal/fleet/pki/pki.go
+++ b/internal/fleet/pki/pki.go
@@ -21,6 +21,8 @@
 	"regexp"
 	"slices"
 	"time"
+
+	"otterstep/internal/tlsfile"
 )
 
 // The roles.
@@ -158,22 +160,10 @@
 	return nil
 }
 
-func authority(path string) (*x509.CertPool, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(text) {
-		return nil, fmt.Errorf("%s: holds no certificate", path)
-	}
-	return pool, nil
-}
-
 // ServerConfig is an agent's side. Each client that is turned away is told to
 // refuse, with the cause: none, expired, authority or other.
 func ServerConfig(ca, cert, key string, refuse func(cause string)) (*tls.Config, error) {
-	roots, err := authority(ca)
+	roots, err := tlsfile.Pool(ca)
 	if err != nil {
 		return nil, err
 	}
@@ -217,7 +207,7 @@
 
 // ClientConfig is a tool's side.
 func ClientConfig(ca, cert, key string) (*tls.Config, error) {
-	roots, err := authority(ca)
+	roots, err := tlsfile.Pool(ca)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -14,6 +14,7 @@
 	"otterstep/internal/core"
 	"otterstep/internal/sip"
 	"otterstep/internal/sip/proxy"
+	"otterstep/internal/web"
 )
 
 // inspector answers the control socket with what the node's parts know.
@@ -23,6 +24,7 @@
 	loop    *core.Loop
 	clients *clients
 	sip     *sip.Front // nil where it is off
+	webs    *web.Fronts
 	started time.Time
 
 	mu        sync.Mutex
@@ -30,8 +32,8 @@
 	reloadErr error
 }
 
-func newInspector(cfg Config, listen string, l *core.Loop, g *clients, s *sip.Front) *inspector {
-	return &inspector{cfg: cfg, listen: listen, loop: l, clients: g, sip: s, started: l.Clock().Start()}
+func newInspector(cfg Config, listen string, l *core.Loop, g *clients, s *sip.Front, webs *web.Fronts) *inspector {
+	return &inspector{cfg: cfg, listen: listen, loop: l, clients: g, sip: s, webs: webs, started: l.Clock().Start()}
 }
 
 // reloaded notes how a reload ended.
@@ -76,6 +78,17 @@
 			return control.Inspection{}, err
 		}
 	}
+	views, err := i.webs.Inspect(ctx)
+	if err != nil {
+		return control.Inspection{}, err
+	}
+	for _, v := range views {
+		a.Web = append(a.Web, control.Web{
+			Name: v.Name, Listen: v.Listen, Streams: v.Streams, Tunnels: v.Tunnels, Cut: v.Cut, Gone: v.Gone, TurnedDown: v.TurnedDown,
+			Rules: v.Rules, Connections: v.Connections, Idle: v.Idle, Kept: v.Kept, Open: v.Pool.Open, Held: v.Pool.Held,
+			Servers: serversOf(v.Pool, i.loop.Clock()), Counts: countsOf(v.Pool, v.Class),
+		})
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if a.Reloads = i.reloads; i.reloadErr != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"otterstep/internal/core"
 	"otterstep/internal/operator"
 	"otterstep/internal/sip"
+	"otterstep/internal/web"
 	"otterstep/policy"
 )
 
@@ -95,12 +96,17 @@
 		}()
 		defer func() { stop(); <-ended }()
 	}
+	webs, err := web.Start(background, op.Web, cfg.Seed, c, log)
+	if err != nil {
+		return err
+	}
+	defer func() { stop(); webs.Wait() }()
 	go l.Run(background)
 	go func() {
 		disco.hand(policy.ListCached, cfg.Known.Targets)
 		disco.run(background)
 	}()
-	watcher := newInspector(cfg, listener.Addr().String(), l, clients, calls)
+	watcher := newInspector(cfg, listener.Addr().String(), l, clients, calls, webs)
 	go reloads.follow(background, cfg, func(addr string) { disco.move(background, addr) }, watcher.reloaded, log)
 	go func() {
 		for every := time.Tick(time.Second); background.Err() == nil; <-every {
@@ -152,6 +158,11 @@
 			calls.Drain(background)
 		}
 	}()
+	websDone := make(chan struct{})
+	go func() {
+		defer close(websDone)
+		webs.Drain(background)
+	}()
 	longest := time.Duration(0)
 	for _, class := range set.Classes {
 		longest = max(longest, class.Deadline)
@@ -175,6 +186,7 @@
 	}
 	server.Close()
 	<-callsDone
+	<-websDone
 	log.Info("stopped")
 	return nil
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,6 +7,7 @@
 
 	"otterstep/internal/sip"
 	"otterstep/internal/tomlfile"
+	"otterstep/internal/web"
 )
 
 // socketPathMost is what a Unix socket's address holds, see unix(7).
@@ -25,6 +26,8 @@
 	} `toml:"drain"`
 	// SIP is the front for calls, off without a listener.
 	SIP sip.Config `toml:"sip"`
+	// Web are the fronts for ordinary HTTP, none if the file has none.
+	Web []web.Config `toml:"web"`
 }
 
 // Load reads and checks the file at path; "" is the zero File.
@@ -46,6 +49,7 @@
 		}
 	}
 	file.SIP.Check(f)
+	web.CheckAll(f, file.Web)
 	if err := f.Err(); err != nil {
 		return File{}, err
 	}
--- a/internal/sip/config.go
+++ b/internal/sip/config.go
@@ -2,18 +2,17 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"net/netip"
 	"os"
-	"strings"
 	"time"
 
+	"otterstep/internal/listed"
 	"otterstep/internal/sip/proxy"
 	"otterstep/internal/sip/token"
+	"otterstep/internal/tlsfile"
 	"otterstep/internal/tomlfile"
 	"otterstep/policy"
 )
@@ -30,7 +29,7 @@
 	TokenKey   string            `toml:"token_key"`   // a file of 32 bytes or more, the same at all instances
 	DialogFor  tomlfile.Duration `toml:"dialog_for"`  // how long a dialog is routed
 	Model      string            `toml:"model"`       // servers are those of this model in discovery's list
-	Servers    []Server          `toml:"server"`      // or these
+	Servers    []listed.Server   `toml:"server"`      // or these
 	Instances  int               `toml:"instances"`   // that share the servers, this one included
 	RetryAfter tomlfile.Duration `toml:"retry_after"` // least advice to callers refused; at most twice that is given
 	Ping       tomlfile.Duration `toml:"ping"`        // how often it is looked whether a server is due its trial, an OPTIONS
@@ -61,14 +60,6 @@
 	} `toml:"class"`
 }
 
-// Server is one of the pool's, where the operator lists them.
-type Server struct {
-	Name    string  `toml:"name"`
-	Address string  `toml:"address"`
-	Zone    int     `toml:"zone"`
-	Weight  float64 `toml:"weight"`
-}
-
 // Class says what one kind of request may take.
 type Class struct {
 	Aim      tomlfile.Duration `toml:"aim"`      // of an INVITE: until the server rings
@@ -163,20 +154,7 @@
 	case c.Model != "" && len(c.Servers) > 0:
 		f.Bad("sip.model", "servers come from discovery's list or from [[sip.server]], not from both")
 	}
-	names := map[string]bool{}
-	for i, s := range c.Servers {
-		key := fmt.Sprintf("sip.server[%d]", i+1)
-		if _, err := netip.ParseAddrPort(s.Address); err != nil {
-			f.Bad(key+".address", "%q is no address and port", s.Address)
-		}
-		if s.Name == "" || names[s.Name] {
-			f.Bad(key+".name", "%q: each server needs a name of its own", s.Name)
-		}
-		if s.Weight < 0 || s.Zone < 0 {
-			f.Bad(key, "weight and zone must not be negative")
-		}
-		names[s.Name] = true
-	}
+	listed.Check(f, "sip.server", c.Servers)
 	if _, err := c.sealer(); err != nil {
 		f.Bad("sip.token_key", "%v", err)
 	}
@@ -231,7 +209,7 @@
 	t := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{cert}}
 	if c.ClientCA != "" {
 		t.ClientAuth = tls.RequireAndVerifyClientCert
-		t.ClientCAs, err = pool(c.ClientCA)
+		t.ClientCAs, err = tlsfile.Pool(c.ClientCA)
 	}
 	return t, err
 }
@@ -241,34 +219,7 @@
 	if c.Upstream.Transport != "tls" {
 		return nil, nil
 	}
-	t := &tls.Config{MinVersion: tls.VersionTLS12, ServerName: c.Upstream.Name}
-	var err error
-	if t.RootCAs, err = pool(c.Upstream.CA); err != nil {
-		return nil, fmt.Errorf("ca: %w", err)
-	}
-	if c.Upstream.Name == "" {
-		return nil, errors.New("name: none given, and the servers' certificates must be for one")
-	}
-	if c.Upstream.Cert != "" {
-		cert, err := tls.LoadX509KeyPair(c.Upstream.Cert, c.Upstream.Key)
-		if err != nil {
-			return nil, fmt.Errorf("cert and key: %w", err)
-		}
-		t.Certificates = []tls.Certificate{cert}
-	}
-	return t, nil
-}
-
-func pool(path string) (*x509.CertPool, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
-	p := x509.NewCertPool()
-	if !p.AppendCertsFromPEM(text) {
-		return nil, fmt.Errorf("%s: no certificate in PEM", path)
-	}
-	return p, nil
+	return tlsfile.Client(c.Upstream.CA, c.Upstream.Name, c.Upstream.Cert, c.Upstream.Key)
 }
 
 // grain is the signalling time below which servers are alike: a caller notices none of
@@ -297,14 +248,3 @@
 	}
 	return s
 }
-
-// entries are the servers that the operator lists.
-func (c *Config) entries() (entries []policy.Entry, addrs []string) {
-	for _, s := range c.Servers {
-		h := fnv.New64a()
-		_, _ = io.WriteString(h, strings.Join([]string{s.Name, s.Address}, "\x00"))
-		entries = append(entries, policy.Entry{Server: policy.ServerID(h.Sum64()), Zone: s.Zone, State: policy.Ready, Weight: s.Weight})
-		addrs = append(addrs, s.Address)
-	}
-	return entries, addrs
-}
--- a/internal/sip/hard_test.go
+++ b/internal/sip/hard_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"otterstep/internal/fleet/pki"
+	"otterstep/internal/listed"
 	"otterstep/internal/sip/proxy"
 	"otterstep/internal/standin/sipua"
 	"otterstep/policy"
@@ -382,7 +383,7 @@
 
 // list sets the states of the desk's servers.
 func (d *desk) list(change func(entries []policy.Entry)) {
-	entries, addrs := d.front.config.entries()
+	entries, addrs := listed.Entries(d.front.config.Servers)
 	change(entries)
 	d.front.Members(policy.ListDelta, entries, addrs)
 }
--- /dev/null
+++ b/internal/web/relay.go
@@ -0,0 +1,132 @@
+package web
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"otterstep/internal/web/fields"
+	"otterstep/policy"
+)
+
+// relay passes an answer on while it comes. From its first byte on there is no way back:
+// one that breaks ends the client's connection, or stream, so that it can't be taken for
+// whole.
+func (f *Front) relay(w http.ResponseWriter, r *http.Request, x *exchange, in *incoming) {
+	if in.tunnel != nil {
+		in.end <- f.tunnel(w, r, x, in)
+		return
+	}
+	f.streams.Add(1)
+	defer f.streams.Add(-1)
+	status := policy.Cancelled
+	defer func() { in.end <- status }() // also if the client's connection panics
+	copyHead(w, in.head)
+	if in.half {
+		w.Header().Set("Connection", "close") // what is left of the body follows on it
+	}
+	control := http.NewResponseController(w)
+	w.WriteHeader(in.code)
+	b := f.buffers.Get().(*[]byte)
+	defer f.buffers.Put(b)
+	for {
+		n, err := in.Read(*b)
+		if n > 0 {
+			_ = control.SetWriteDeadline(time.Now().Add(f.opt.Limits.Stall.Duration))
+			if _, werr := w.Write((*b)[:n]); werr != nil {
+				f.gone.Add(1)
+				panic(http.ErrAbortHandler)
+			}
+			if in.length < 0 { // it comes when it comes: nothing is held for more
+				if control.Flush() != nil {
+					f.gone.Add(1)
+					panic(http.ErrAbortHandler)
+				}
+			}
+		} else if err == nil && x.ctx.Err() != nil {
+			err = x.ctx.Err()
+		}
+		switch {
+		case err == nil:
+			continue
+		case !errors.Is(err, io.EOF):
+			if status = policy.Reset; x.ctx.Err() != nil {
+				status = policy.Cancelled // the client's leaving has ended the attempt
+				f.gone.Add(1)
+			} else {
+				f.cut.Add(1)
+			}
+			panic(http.ErrAbortHandler)
+		}
+		break
+	}
+	trailer, err := in.trailer()
+	if err != nil {
+		status = policy.Reset
+		f.cut.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range trailer {
+		w.Header()[http.TrailerPrefix+name] = values
+	}
+	status = policy.OK
+}
+
+// tunnel changes protocols: from then on bytes go both ways until both sides have ended, a
+// side says nothing for too long, the time is up, or the drain ends it.
+func (f *Front) tunnel(w http.ResponseWriter, r *http.Request, x *exchange, in *incoming) policy.Status {
+	f.tunnels.Add(1)
+	defer f.tunnels.Add(-1)
+	up := in.tunnel
+	up.Budget.N = unbounded
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return policy.Cancelled
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), f.opt.Limits.Tunnel.Duration)
+	defer cancel()
+	defer context.AfterFunc(f.ending, cancel)()
+	header := in.header.Clone()
+	fields.EndHop(header)
+	header.Set("Connection", "Upgrade")
+	header["Upgrade"] = in.header["Upgrade"]
+	_ = conn.SetDeadline(time.Time{})
+	if _, err := buffered.WriteString("HTTP/1.1 101 Switching Protocols\r\n"); err == nil {
+		_ = header.Write(buffered)
+	}
+	_, _ = buffered.WriteString("\r\n")
+	if buffered.Flush() != nil {
+		f.gone.Add(1)
+		return policy.Cancelled
+	}
+	defer context.AfterFunc(ctx, func() {
+		conn.SetDeadline(time.Unix(1, 0))
+		up.SetDeadline(time.Unix(1, 0))
+	})()
+	var both sync.WaitGroup
+	both.Go(func() {
+		_, _ = f.copy(up, buffered) // how a side ends is the other's to see
+		halfClose(up.Conn)
+	})
+	both.Go(func() {
+		_, _ = f.copy(conn, up.In)
+		halfClose(conn)
+	})
+	both.Wait()
+	return policy.OK
+}
+
+// halfClose ends one direction, so that what still comes the other way is not lost; where
+// that can't be, all of it.
+func halfClose(c net.Conn) {
+	if half, ok := c.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite() // it may have ended already
+		return
+	}
+	c.Close()
+}
