Ordinary HTTP: duties, smuggling, floods, streams, tunnels, drains in tests, and what they found

Found by these tests and mended: HTTP/2 paths with blanks reached servers as a second target; a client's leaving counted against its server, so that a rapid reset flood opened breakers; a tunnel was cut when its client ended its sending; a path with parameters of nothing was read in two ways (fuzzing); short answers lost their trailers; OPTIONS * was net/http's own. Lines of tables within arrays of tables are told. otterctl inspect shows the fronts.

--- a/cmd/otterstep/main_test.go
+++ b/cmd/otterstep/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
@@ -232,3 +233,62 @@
 		t.Error("nothing was answered after SIGTERM")
 	}
 }
+
+// One line puts any service behind the node, until SIGTERM drains it; what is wrong with the
+// line is told, and nothing is served.
+func TestServe(t *testing.T) {
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusTeapot)
+		fmt.Fprint(w, r.Method, " ", r.URL.Path)
+	}))
+	defer service.Close()
+	serve := func(args ...string) *exec.Cmd {
+		cmd := exec.Command(os.Args[0], append([]string{"serve"}, args...)...)
+		cmd.Env = append(os.Environ(), "OTTERSTEP_MAIN=1", "PROXY_CONFIG=")
+		return cmd
+	}
+	for want, args := range map[string][]string{
+		"no servers":       {"--listen", "127.0.0.1:0"},
+		"no address":       {"--listen", "127.0.0.1:0", "--server", "localhost:80"},
+		"at least one of":  {"--server", "127.0.0.1:1"},
+		"unknown flag":     {"--moon"},
+		"no such file":     {"--file", "/none"},
+		"none of the othe": {"--file", "x", "--listen", "127.0.0.1:0"},
+	} {
+		out, err := serve(args...).CombinedOutput()
+		if err == nil || !strings.Contains(string(out), want) {
+			t.Errorf("%v: %v, %s", args, err, out)
+		}
+	}
+	cmd := serve("--listen", "127.0.0.1:0", "--server", service.Listener.Addr().String())
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	lines := bufio.NewScanner(log)
+	addr := ""
+	for addr == "" && lines.Scan() {
+		if _, rest, ok := strings.Cut(lines.Text(), "listen="); ok {
+			addr, _, _ = strings.Cut(rest, " ")
+		}
+	}
+	resp, err := http.Post("http://"+addr+"/tea", "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if text, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusTeapot || string(text) != "POST /tea" {
+		t.Errorf("%s %q, %v", resp.Status, text, err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, log)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/fleet/ctl/print.go
+++ b/internal/fleet/ctl/print.go
@@ -152,9 +152,22 @@
 		if v.SIP != nil {
 			p.calls(v.SIP)
 		}
+		for i := range v.Web {
+			p.web(&v.Web[i])
+		}
 	}
 }
 
+// web shows one of an instance's fronts for ordinary HTTP.
+func (p *printer) web(v *control.Web) {
+	p.line("web "+v.Name, "listen "+v.Listen, fmt.Sprintf("open %d", v.Open), fmt.Sprintf("held %d", v.Held), fmt.Sprintf("streams %d", v.Streams), fmt.Sprintf("tunnels %d", v.Tunnels))
+	p.line("web "+v.Name+" ends", fmt.Sprintf("cut %d", v.Cut), fmt.Sprintf("clients gone %d", v.Gone), fmt.Sprintf("turned down %d", v.TurnedDown))
+	p.line("web "+v.Name+" rules", fmt.Sprintf("hits %v, the last of none", v.Rules))
+	p.line("web "+v.Name+" servers", fmt.Sprintf("connections %d, idle %d", v.Connections, v.Idle), fmt.Sprintf("kept %d bytes", v.Kept))
+	p.classes(v.Counts)
+	p.servers(v.Servers)
+}
+
 // calls shows an instance's SIP front.
 func (p *printer) calls(v *control.SIP) {
 	p.line("SIP", "listen "+counts(v.Listen), fmt.Sprintf("connections %d, turned away %d", v.Connections, v.TurnedAway))
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -36,7 +36,8 @@
 	if err := tomlfile.Parse("operator.toml", []byte(strings.Join(on, "")), &f).Err(); err != nil {
 		t.Fatal(err)
 	}
-	if f.Control.Socket == "" || !f.Drain.TellUp || !f.SIP.On() || f.SIP.Limits.Message.Bytes != 16<<10 || f.SIP.Class.Other.Aim.Duration == 0 {
+	if f.Control.Socket == "" || !f.Drain.TellUp || !f.SIP.On() || f.SIP.Limits.Message.Bytes != 16<<10 || f.SIP.Class.Other.Aim.Duration == 0 ||
+		len(f.Web) != 1 || len(f.Web[0].Servers) != 1 || f.Web[0].Class[0].Deadline.Duration == 0 {
 		t.Errorf("%+v", f)
 	}
 }
@@ -50,3 +51,49 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// All that is wrong with a front for ordinary HTTP is told with its line and key.
+func TestWrongWeb(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	text := `[[web]]
+name = "a b"
+listen = "localhost:80"
+attempts = 99
+drain = "1ms"
+trust = ["ten"]
+key_by = "moon"
+[[web.server]]
+name = "s"
+address = "nowhere"
+[[web.class]]
+name = "d"
+aim = "2s"
+deadline = "1s"
+[[web.rule]]
+path = "/a/../b"
+class = "e"
+[web.upstream]
+ca = "ca.pem"
+[web.limits]
+kept = "1GiB"
+tunels = 3
+[[web]]
+listen = "127.0.0.1:0"
+client_ca = "x"
+[[web.cert]]
+cert = "none.pem"
+key = "none.key"
+`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Load(path)
+	for _, want := range []string{
+		":2: web[1].name", ":3: web[1].listen", ":4: web[1].attempts", ":5: web[1].drain", ":6: web[1].trust", "key_by", ":10: web[1].server[1].address",
+		":14: web[1].class[1].deadline", "rule[1].path", "rule[1].class", "web[1].upstream", "web[1].limits.kept", "did you mean", "web[2]: no servers", "web[2].cert",
+	} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("nothing of %s in\n%v", want, err)
+		}
+	}
+}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -86,7 +86,7 @@
 }
 
 // Bad notes what is wrong with a key; an element of an array of tables is named
-// as in "instance[2].name", counted from 1.
+// as in "instance[2].name" or "web[1].server[2].address", counted from 1.
 func (f *File) Bad(key, format string, args ...any) {
 	line := f.lines[key]
 	if table, _, ok := cutLast(key); line == 0 && ok {
@@ -116,6 +116,18 @@
 // lines finds the line of each key, as far as the text can be read.
 func lines(text []byte) map[string]int {
 	found, counts := map[string]int{}, map[string]int{}
+	// within gives a table's name with the place of each array of tables that it is in.
+	within := func(name string) string {
+		parts := strings.Split(name, ".")
+		full := parts[0]
+		for _, part := range parts[1:] {
+			if n := counts[full]; n > 0 {
+				full = fmt.Sprintf("%s[%d]", full, n)
+			}
+			full = join(full, part)
+		}
+		return full
+	}
 	var p unstable.Parser
 	p.Reset(text)
 	table := ""
@@ -131,8 +143,9 @@
 		}
 		switch e.Kind {
 		case unstable.Table:
-			table = name
+			table = within(name)
 		case unstable.ArrayTable:
+			name = within(name)
 			counts[name]++
 			table = fmt.Sprintf("%s[%d]", name, counts[name])
 		default:
--- a/internal/web/answer.go
+++ b/internal/web/answer.go
@@ -30,6 +30,8 @@
 	code   int
 	header http.Header
 	closes bool // the server ends the connection behind the answer
+	// trails tells of trailers beside a length, which HTTP/2 may have and HTTP/1.1 may not.
+	trails bool
 }
 
 // readHead reads the head of one answer, strictly (RFC 9112, section 4): what two readers
--- a/internal/web/classify/path.go
+++ b/internal/web/classify/path.go
@@ -8,7 +8,7 @@
 
 // Segments takes an escaped path apart as all readers agree on it: decoded once, empty
 // segments left out. A path that servers may read in different ways is an error: one with
-// dot segments, also behind escapes or with parameters ("..;x"), with an escaped slash or
+// dot segments, also behind escapes or with parameters ("..;x"), or with parameters of nothing, with an escaped slash or
 // backslash, with a plain backslash, with escapes of escapes of these, or with control
 // characters. A rule's prefix could not be trusted with any of them (RFC 3986, section
 // 6.2.2.3; RFC 9110, section 4.2.5).
@@ -24,7 +24,7 @@
 		}
 		name, _, _ := strings.Cut(s, ";")
 		switch {
-		case name == "." || name == "..":
+		case name == "." || name == ".." || name == "" && s != "":
 			return nil, fmt.Errorf("path: a segment %.20q, which servers resolve in different ways", raw)
 		case strings.ContainsAny(s, "/\\"):
 			return nil, fmt.Errorf("path: a slash or backslash inside segment %.20q", raw)
--- a/internal/web/exchange.go
+++ b/internal/web/exchange.go
@@ -43,6 +43,7 @@
 
 	mu       sync.Mutex
 	fallback *whole // the last answer that was held back
+	over     bool   // nobody takes an answer any more
 }
 
 // incoming is an answer that goes to the client while it comes. Its attempt waits for end.
@@ -64,7 +65,20 @@
 const heldBack = 64 << 10
 
 // Attempt implements core.Message.
-func (x *exchange) Attempt(ctx context.Context, to core.Server, wait time.Duration, turn core.Turn) core.Reply {
+func (x *exchange) Attempt(ctx context.Context, to core.Server, _ time.Duration, turn core.Turn) core.Reply {
+	r := x.attempt(ctx, to, turn)
+	if x.ctx.Err() != nil { // the client's leaving broke it off: nothing to hold against the server
+		switch r.Status {
+		case policy.ConnectFailed:
+			r.Status = policy.Moot
+		case policy.Reset:
+			r.Status = policy.Cancelled
+		}
+	}
+	return r
+}
+
+func (x *exchange) attempt(ctx context.Context, to core.Server, turn core.Turn) core.Reply {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(x.ctx, cancel)()
@@ -263,10 +277,28 @@
 // pass hands an answer to the client's goroutine and waits until it has ended.
 func (x *exchange) pass(in *incoming) policy.Status {
 	in.end = make(chan policy.Status, 1)
-	x.passed <- in
+	x.mu.Lock()
+	if x.over {
+		x.mu.Unlock()
+		return policy.Cancelled
+	}
+	x.passed <- in // has room: one attempt passes
+	x.mu.Unlock()
 	return <-in.end
 }
 
+// close has no answer passed any more; one that crosses it is given up.
+func (x *exchange) close() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.over = true
+	select {
+	case in := <-x.passed:
+		in.end <- policy.Cancelled
+	default:
+	}
+}
+
 // awaitHead reads heads up to the one that counts.
 func (x *exchange) awaitHead(c *conns.Conn, goOn chan struct{}) (head, error) {
 	for range interimMost + 1 {
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -48,6 +48,8 @@
 	ending   context.Context // ends streams and tunnels
 	end      context.CancelFunc
 
+	handlers sync.RWMutex // held for reading by each that runs, tunnels too, which net/http forgets
+
 	hits    []atomic.Int64 // of each rule, and of none
 	streams atomic.Int64   // answers on their way
 	tunnels atomic.Int64
@@ -102,7 +104,8 @@
 	l := f.opt.Limits
 	s := &http.Server{
 		Handler: f, ReadHeaderTimeout: l.Read.Duration, IdleTimeout: l.Idle.Duration, MaxHeaderBytes: l.Header.Bytes,
-		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug), Protocols: new(http.Protocols),
+		DisableGeneralOptionsHandler: true, // OPTIONS * is the servers' to answer
+		ErrorLog:                     slog.NewLogLogger(f.log.Handler(), slog.LevelDebug), Protocols: new(http.Protocols),
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: l.Streams, MaxDecoderHeaderTableSize: 4096, MaxEncoderHeaderTableSize: 4096,
 			MaxReadFrameSize: 16 << 10, MaxReceiveBufferPerStream: 64 << 10, MaxReceiveBufferPerConnection: 1 << 20,
@@ -165,8 +168,10 @@
 	}
 	f.end()
 	f.server.Close()
+	f.handlers.Lock()
 	stop()
 	<-f.loop.Stopped()
+	f.handlers.Unlock() // whoever came meanwhile is told that all is over
 	<-swept
 	f.pool.Close()
 	if f.h2 != nil {
@@ -188,7 +193,9 @@
 	limit, cancel := context.WithTimeout(ctx, f.opt.Drain.Duration)
 	defer cancel()
 	err := f.server.Shutdown(limit) // HTTP/2 connections get their GOAWAY here
-	for every := time.NewTicker(10 * time.Millisecond); err == nil && f.tunnels.Load() > 0; {
+	every := time.NewTicker(10 * time.Millisecond)
+	defer every.Stop()
+	for err == nil && f.tunnels.Load() > 0 {
 		select {
 		case <-every.C:
 		case <-limit.Done():
@@ -210,6 +217,8 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.handlers.RLock()
+	defer f.handlers.RUnlock()
 	came := f.loop.Clock().Now()
 	id := f.identify(r)
 	if f.draining.Load() {
@@ -240,7 +249,9 @@
 	for {
 		select {
 		case h := <-q.x.interim:
-			hint(w, h)
+			if r.ProtoAtLeast(1, 1) { // RFC 9110, section 15.2
+				hint(w, h)
+			}
 		case in := <-q.x.passed:
 			f.relay(w, r, q.x, in)
 			return
@@ -265,11 +276,7 @@
 func (f *Front) leave(w http.ResponseWriter, x *exchange, ticket *core.Ticket) {
 	f.gone.Add(1)
 	f.loop.Leave(ticket)
-	select {
-	case in := <-x.passed: // it crossed the leaving
-		in.end <- policy.Cancelled
-	default:
-	}
+	x.close()
 	w.Header().Set("Connection", "close")
 	panic(http.ErrAbortHandler)
 }
@@ -295,6 +302,9 @@
 	switch {
 	case r.Method == http.MethodConnect || r.Method == http.MethodTrace:
 		return q, &problem{Status: http.StatusMethodNotAllowed, Title: "method not carried", Detail: r.Method + " is not carried here"}
+	case strings.ContainsFunc(r.RequestURI, func(c rune) bool { return c <= ' ' || c >= 0x7f || c == '#' }):
+		// HTTP/2 brings such targets through, and HTTP/1.1 would read a blank as their end.
+		return q, &problem{Status: http.StatusBadRequest, Title: "bad request", Detail: "a target with a blank, a control character, a fragment or bytes beyond ASCII (RFC 9110, section 7.1)"}
 	case fields.Looped(r.Header, f.via()):
 		return q, &problem{Status: http.StatusLoopDetected, Title: "loop", Detail: "the request has passed here before"}
 	case len(r.Header["Idempotency-Key"]) > 1:
@@ -377,6 +387,7 @@
 	x.ctx = ctx
 	held := int64(0)
 	ended = func() {
+		x.close()
 		cancel()
 		unhook()
 		x.reading.Wait()
--- a/internal/web/multiplexed.go
+++ b/internal/web/multiplexed.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/net/http2"
@@ -177,31 +178,43 @@
 	switch {
 	case x.rest != nil:
 		r.Trailer = x.trailer()
-		r.Body = &streamedBody{Reader: io.MultiReader(bytes.NewReader(x.kept), x.rest), stop: x.stop}
 		x.reading.Add(1)
-		r.Body.(*streamedBody).done = sync.OnceFunc(x.reading.Done)
+		r.Body = &streamedBody{Reader: io.MultiReader(bytes.NewReader(x.kept), x.rest), stop: x.stop, done: sync.OnceFunc(x.reading.Done)}
 	case len(x.kept) > 0:
 		r.Body = io.NopCloser(bytes.NewReader(x.kept))
 	}
 	return r.WithContext(ctx)
 }
 
-// streamedBody is a client's body on its way to a stream; Close comes once, from x/net.
+// streamedBody is a client's body on its way to a stream. x/net closes it once it has ended,
+// or when the stream is over before; then a Read that waits for the client must end.
 type streamedBody struct {
 	io.Reader
+	ended      atomic.Bool
 	stop, done func()
 }
 
+// Read implements io.Reader.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
 // Close implements io.Closer.
 func (b *streamedBody) Close() error {
-	b.stop()
+	if !b.ended.Load() {
+		b.stop()
+	}
 	b.done()
 	return nil
 }
 
 // receiveStream takes in an answer that came on a stream.
 func (x *exchange) receiveStream(resp *http.Response, turn core.Turn) policy.Status {
-	h := head{code: resp.StatusCode, header: resp.Header}
+	h := head{code: resp.StatusCode, header: resp.Header, trails: len(resp.Trailer) > 0}
 	b := body{resp.Body, resp.ContentLength, func() (http.Header, error) { return resp.Trailer, nil }, false}
 	v := verdict.Of(h.code, h.header)
 	if v.Again {
--- a/internal/web/relay.go
+++ b/internal/web/relay.go
@@ -26,11 +26,19 @@
 	status := policy.Cancelled
 	defer func() { in.end <- status }() // also if the client's connection panics
 	copyHead(w, in.head)
+	if in.trails && r.ProtoMajor < 2 {
+		w.Header().Del("Content-Length")
+		in.length = -1
+	}
 	if in.half {
 		w.Header().Set("Connection", "close") // what is left of the body follows on it
 	}
 	control := http.NewResponseController(w)
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }() // the next answer has its own
 	w.WriteHeader(in.code)
+	if in.length < 0 { // the head is news already; and net/http gives short answers a length, and no trailers, else
+		_ = control.Flush() // the first write tells if it failed
+	}
 	b := f.buffers.Get().(*[]byte)
 	defer f.buffers.Put(b)
 	for {
@@ -110,7 +118,10 @@
 	})()
 	var both sync.WaitGroup
 	both.Go(func() {
-		_, _ = f.copy(up, buffered) // how a side ends is the other's to see
+		// What net/http has read ahead, then the connection itself: through net/http's reader
+		// a client's end of sending would count as its leaving, and cut what still comes.
+		ahead := io.LimitReader(buffered, int64(buffered.Reader.Buffered()))
+		_, _ = f.copy(up, io.MultiReader(ahead, conn)) // how a side ends is the other's to see
 		halfClose(up.Conn)
 	})
 	both.Go(func() {
--- a/internal/web/web_test.go
+++ b/internal/web/web_test.go
@@ -26,14 +26,14 @@
 
 // rig is a front with its servers.
 type rig struct {
-	t     *testing.T
+	t     testing.TB
 	front *Front
 	boxes []*webbox.Box
 	stop  func()
 }
 
 // open starts a front before servers that follow scripts; more is of its configuration.
-func open(t *testing.T, more string, scripts ...webbox.Script) *rig {
+func open(t testing.TB, more string, scripts ...webbox.Script) *rig {
 	t.Helper()
 	r := &rig{t: t}
 	text := "[[web]]\nname = \"t\"\nlisten = \"127.0.0.1:0\"\n" + more
