--- a/internal/web/bench_test.go
+++ b/internal/web/bench_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -67,7 +68,7 @@
 	}
 	s := &http.Server{Handler: &httputil.ReverseProxy{Transport: transport, Rewrite: func(q *httputil.ProxyRequest) {
 		q.SetURL(&url.URL{Scheme: "http", Host: addrs[rand.IntN(len(addrs))]})
-	}, ErrorLog: nil}}
+	}, ErrorLog: log.New(io.Discard, "", 0)}}
 	go s.Serve(l)
 	b.Cleanup(func() { s.Close(); transport.CloseIdleConnections() })
 	return map[string]string{"otterstep": r.front.Addr(), "reverseproxy": l.Addr().String()}
