--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -340,7 +340,7 @@
 
 // exchange makes what goes on to servers, and reads the first part of the body. ended is
 // to be called behind the answer.
-func (f *Front) exchange(w http.ResponseWriter, r *http.Request, id string) (x *exchange, ended func(), p *problem) {
+func (f *Front) exchange(w http.ResponseWriter, r *http.Request, id string) (_ *exchange, ended func(), p *problem) {
 	if text := r.Header.Get("Max-Forwards"); r.Method == http.MethodOptions && text != "" {
 		n, err := strconv.ParseUint(text, 10, 31)
 		switch {
@@ -351,7 +351,7 @@
 		}
 		r.Header.Set("Max-Forwards", strconv.FormatUint(n-1, 10))
 	}
-	x = &exchange{
+	x := &exchange{ // never another one: what is hooked below reads it on other goroutines
 		front: f, method: r.Method, uri: originForm(r), host: r.Host, length: r.ContentLength,
 		interim: make(chan head, interimMost), passed: make(chan *incoming, 1),
 		trailer: func() http.Header { return r.Trailer },
