--- a/internal/web/multiplexed.go
+++ b/internal/web/multiplexed.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/net/http2"
 
+	"otterstep/internal/conns"
 	"otterstep/internal/core"
 	"otterstep/internal/web/fields"
 	"otterstep/internal/web/verdict"
@@ -64,7 +65,7 @@
 	}
 	if m.all >= m.most {
 		m.mu.Unlock()
-		return nil, errNoStream
+		return nil, conns.ErrNone
 	}
 	m.all++
 	m.mu.Unlock()
@@ -79,9 +80,6 @@
 	return c, nil
 }
 
-// errNoStream means that all connections are full: that says nothing of the server.
-var errNoStream = errors.New("no stream is free")
-
 func (m *multiplexed) dial(ctx context.Context, to core.Server) (*http2.ClientConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.connect)
 	defer cancel()
@@ -99,7 +97,7 @@
 	}
 	c, err := m.transport.NewClientConn(nc)
 	if err == nil && !c.ReserveNewRequest() {
-		err = errNoStream
+		err = conns.ErrNone
 	}
 	if err != nil {
 		nc.Close()
@@ -134,7 +132,7 @@
 func (m *multiplexed) attempt(ctx context.Context, x *exchange, to core.Server, turn core.Turn) core.Reply {
 	c, err := m.get(ctx, to)
 	switch {
-	case errors.Is(err, errNoStream):
+	case errors.Is(err, conns.ErrNone):
 		return core.Reply{Status: policy.Moot}
 	case err != nil:
 		return core.Reply{Status: policy.ConnectFailed}
