--- a/internal/web/stream_test.go
+++ b/internal/web/stream_test.go
@@ -486,3 +486,29 @@
 		t.Fatal(err)
 	}
 }
+
+// Beyond the bound on tunnels a wish to change protocols is not passed on, and the request
+// is answered as any other; beyond the room for kept bodies one is sent once, as it comes.
+func TestBounds(t *testing.T) {
+	r := open(t, "[web.limits]\ntunnels = 1\nkept = \"1KiB\"\nkept_all = \"1KiB\"\n", func(s webbox.Seen, c net.Conn) bool {
+		if s.Header.Get("Upgrade") != "" {
+			return echoing(s, c)
+		}
+		return echo(s, c)
+	})
+	r.upgrade()
+	if a := r.ask("GET", "GET /x HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: echo\r\n\r\n"); a.code != 200 {
+		t.Errorf("a second tunnel: %+v", a)
+	}
+	slow := r.dial() // holds all the room while its body comes
+	_, _ = io.WriteString(slow, "PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1024\r\n\r\n")
+	r.await("a full room", func() bool { return r.front.kept.Load() == 1024 })
+	if a := r.ask("PUT", "PUT /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"); a.body != "body" || r.front.kept.Load() != 1024 {
+		t.Errorf("with no room left: %+v, %d kept", a, r.front.kept.Load())
+	}
+	_, _ = io.WriteString(slow, strings.Repeat("x", 1024))
+	if a := read(bufio.NewReader(slow), "PUT"); len(a.body) != 1024 {
+		t.Errorf("%+v", a)
+	}
+	r.await("room again", func() bool { return r.front.kept.Load() == 0 })
+}
