Module: a large tier's nodes rank servers alike for a key; further attempts spread

These are the further attempts and second copies of 80 nodes: pick goes through the choices from the first and keeps it while scores and own load are equal, which they are at a node that meets each server every 3 s (policy/pick.go, the loop over choices).

Each node meets a key every 28 s, a server forgets it within 3 to 9 s, so a node's own memory of who served a key is of no use there. Now keys go to servers by weighted rendezvous hashing, alike at all nodes, to as many as the key's part of the latest requests needs.

--- /dev/null
+++ b/policy/fleet_test.go
@@ -0,0 +1,99 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// newFleet makes the nodes of a tier, each with a seed of its own and the same list.
+func newFleet(t *testing.T, set Settings, nodes, servers int) []*rig {
+	t.Helper()
+	set.Nodes = nodes
+	fleet := make([]*rig, nodes)
+	for i := range fleet {
+		h := newHost()
+		b, err := New(set, uint64(i+1), h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fleet[i] = &rig{t: t, b: b, h: h, now: time.Hour, done: map[RequestID]int{}}
+		fleet[i].list(ListCached, ready(1, servers)...)
+	}
+	return fleet
+}
+
+// Guards against nodes that know as little as each other and all prefer the first of the list for a further
+// attempt: on a fleet's day it got five times the load of any other server.
+func TestFurtherAttemptsOfManyNodesSpread(t *testing.T) {
+	count, most := map[ServerID]int{}, 0
+	set := testSettings()
+	set.Zone = 100 // none of the servers'
+	for _, r := range newFleet(t, set, 80, 60) {
+		r.serve(12, 0, 20*ms) // a thin node saves up for further attempts
+		id := r.request(0)
+		r.end(id, Full, ms)
+		r.pass(200 * ms)
+		for _, s := range r.sendsOf(id)[1:] {
+			count[s]++
+			most = max(most, count[s])
+		}
+	}
+	if most > 7 || len(count) < 35 { // 80 balls in 60 bins
+		t.Errorf("one server got %d of 80 second attempts, %d servers any", most, len(count))
+	}
+}
+
+// Guards against many nodes that each send a key elsewhere, so that no server keeps it warm, and against a
+// hot key that fills the one server it is at home with.
+func TestManyNodesAgreeOnTheServersOfAKey(t *testing.T) {
+	const nodes, servers, hot, rare = 80, 60, 1, 2
+	set := testSettings()
+	set.WarmKeys = true
+	fleet := newFleet(t, set, nodes, servers)
+	rng := rand.New(rand.NewPCG(3, 3))
+	count := map[uint64]map[ServerID]int{hot: {}, rare: {}}
+	for round := range 200 {
+		for _, r := range fleet {
+			key := 10 + rng.Uint64N(400)
+			switch p := rng.Float64(); {
+			case p < 0.2:
+				key = hot
+			case p < 0.202:
+				key = rare
+			}
+			r.next++
+			r.b.Request(r.now, Request{ID: r.next, Left: 2 * time.Second, Key: key})
+			if sent := r.sendsOf(r.next); round >= 100 && count[key] != nil && len(sent) > 0 {
+				count[key][sent[0]]++
+			}
+			r.pass(50 * ms)
+			r.end(r.next, OK, 20*ms)
+		}
+	}
+	total, most := 0, 0
+	for _, n := range count[hot] {
+		total, most = total+n, max(most, n)
+	}
+	if len(count[hot]) < 12 || len(count[hot]) > 40 || most*6 > total {
+		t.Errorf("hot key: at %d servers, %d of %d requests at one", len(count[hot]), most, total)
+	}
+	if len(count[rare]) > 3 {
+		t.Errorf("rare key: at %d servers", len(count[rare]))
+	}
+}
+
+// Guards against a table of keys without an end.
+func TestPopularityStaysBounded(t *testing.T) {
+	var p popularity
+	for i := range uint64(100_000) {
+		p.add(i%3 + 1)
+		p.add(i + 10)
+		if len(p.counts) > 3*popularFor || p.total > 2*popularFor {
+			t.Fatalf("%d keys, %.0f requests", len(p.counts), p.total)
+		}
+	}
+	if share := p.share(1); share < 0.1 || share > 0.25 { // one in six
+		t.Errorf("share %.2f of a key with a sixth of the requests", share)
+	}
+}
--- a/policy/pick.go
+++ b/policy/pick.go
@@ -3,6 +3,7 @@
 // Which server gets an attempt.
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -85,6 +86,9 @@
 		return nil
 	}
 	if len(r.attempts) == 0 && n > 2 {
+		if b.thin() && b.set.WarmKeys && r.Key != 0 {
+			return b.home(r)
+		}
 		i := b.rng.IntN(n)
 		j := (i + 1 + b.rng.IntN(n-1)) % n
 		if b.thin() {
@@ -96,6 +100,9 @@
 		}
 		return better(b.choices[i], b.choices[j])
 	}
+	if b.set.Nodes > 1 { // else all nodes that know as little prefer the same of equal ones
+		b.rng.Shuffle(n, func(i, j int) { b.choices[i], b.choices[j] = b.choices[j], b.choices[i] })
+	}
 	best := b.choices[0]
 	for _, s := range b.choices[1:] {
 		best = better(best, s)
@@ -103,6 +110,34 @@
 	return best
 }
 
+// home chooses among the servers that keep a key warm. Many nodes meet each key too seldom to remember
+// who served it, so all go by the same ranking, made of key and server alone (weighted rendezvous
+// hashing; Thaler and Ravishankar, 1998). The first few of it are the key's: as many as its part of all
+// requests needs, so that a hot one fills no server. Of two of these the better gets the request.
+func (b *Balancer) home(r *request) *server {
+	n := len(b.choices)
+	homes := min(1+int(keySpread*b.popular.share(r.Key)*float64(len(b.ready))), n-1)
+	for _, s := range b.choices {
+		weight := s.size
+		s.rank = -math.Log(uniform(uint64(s.Server)^r.Key*0x9e3779b97f4a7c15)) / weight
+	}
+	slices.SortFunc(b.choices, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
+	i := b.rng.IntN(homes)
+	j := b.rng.IntN(homes)
+	if j >= i {
+		j++
+	}
+	return better(b.choices[i], b.choices[j])
+}
+
+// uniform hashes to (0,1): the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
+func uniform(x uint64) float64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	x ^= x >> 31
+	return (float64(x>>11) + 0.5) / (1 << 53)
+}
+
 // full tells that as many attempts are in flight at closed servers as the bound allows in all.
 func (b *Balancer) full() bool {
 	out := 0
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,7 @@
 	earnedMost     = 1.0 / 3          // of what they get done in FallFor: saved up at most
 	earnedLeast    = 2.0              // or so many requests
 	coldSafety     = 0.75             // of the multiple that pushes cold servers over
+	keySpread      = 2.0              // servers of a key for each that its part of the requests would fill
 	scanMost       = 64               // servers: of more, a few at random stand for all
 	sampleOf       = 24               // so many for a pick
 	sweepEvery     = 10 * time.Millisecond
@@ -343,6 +344,7 @@
 		r.worth *= b.set.OverShareWorth
 	}
 	b.demand.add(now, b.loneLatency(r))
+	b.popular.add(q.Key)
 	b.copyTokens = min(b.copyTokens+copyBudget, copyBurst)
 	if b.thin() && !b.admit(now, over) {
 		b.giveUp(now, r)
--- a/policy/state.go
+++ b/policy/state.go
@@ -54,6 +54,7 @@
 	loneSeen  float64
 	fullUntil time.Duration // it turned a request away as full
 
+	rank      float64 // scratch space of home
 	rate      meter   // work sent to it
 	done      meter   // work that it has served while it is cold
 	earned    float64 // work that it may be sent while it is cold, by what it served
@@ -153,6 +154,7 @@
 	passing []*server          // scratch space of narrow
 	crossed bool               // a request went to another zone for want of room, since the bound was moved
 	keys    map[uint64]*server // who served a key last
+	popular popularity
 
 	requests map[RequestID]*request
 	open     []*request // those that are not done
@@ -591,3 +593,36 @@
 	}
 	return pick
 }
+
+// popularity counts the latest requests by key; older ones count for less.
+type popularity struct {
+	counts map[uint64]float64
+	total  float64
+}
+
+const (
+	popularFor   = 256.0 // requests that it goes by; it knows no more than thrice as many keys
+	popularPrior = 15.0  // requests of no key that stand in at the start
+)
+
+// add counts a request. All counts are halved now and then; keys met just once are forgotten then.
+func (p *popularity) add(key uint64) {
+	if p.counts == nil {
+		p.counts = map[uint64]float64{}
+	}
+	p.counts[key]++
+	if p.total++; p.total < 2*popularFor {
+		return
+	}
+	p.total /= 2
+	for k, n := range p.counts {
+		if p.counts[k] = n / 2; n <= 1 {
+			delete(p.counts, k)
+		}
+	}
+}
+
+// share is a key's part of the requests before this one.
+func (p *popularity) share(key uint64) float64 {
+	return max(0, p.counts[key]-1) / (p.total + popularPrior)
+}
