Module: many nodes call discovery apart, and each bounds what it has in flight

After the first lists all 80 nodes began a watch within 30 ms and came again 0.5, 1.5 and 3.5 s later, in step (policy/policy.go, Members: a fifth of jitter; internal/node/discovery.go: whole list and then watch at once). The one service turned most away; those that it took had waited for 2 s, and failed, by the time it got to them. So the 56 nodes that restarted kept the list of before a release: 42 of 60 servers, half refused. Now calls are spread over 100 ms a node, from the start on and after failures, wider each time, within the time that the settings allow; a node with a list of before is ready with it and makes one call (a watch from that version), not two; and it waits for a call that discovery has taken.

A bound on what a node has in flight acts at once: four requests a server in all, held requests shed in time. The admitted share stays where there are so many nodes that the bound is below one (scant). No second copies from thin nodes: what is overdue there is a crowd. Capacity goes by weight and by how long a kind of machine takes; by weight alone slow machines with three cores got twice the load of fast ones with two.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"otterstep/internal/core"
+	"otterstep/internal/wire"
 	"otterstep/policy"
 )
 
@@ -22,7 +23,7 @@
 	watchWait    = 10 * time.Second // a watch answers after this at the latest
 	watchGrace   = 1500 * time.Millisecond
 	listWait     = time.Second     // the agent on this machine answers at once
-	listWaitAsk  = 2 * time.Second // one service for all works through calls in turn
+	listWaitAsk  = 5 * time.Second // one service for all works through calls in turn, and says itself if that takes too long
 	backoffFirst = 50 * time.Millisecond
 	backoffMost  = 400 * time.Millisecond
 	maxList      = 4 << 20
@@ -52,6 +53,7 @@
 	addr  string
 	asked bool // discovery is one service for all: the module says when to call again
 	zones []string
+	kinds []string
 	clock core.Clock
 	log   *slog.Logger
 	// members hands a list on; endpoints go with the entries.
@@ -70,11 +72,12 @@
 	started bool          // first was called
 	rev     int64
 	listed  bool // rev is discovery's own
+	known   bool // there is a list of before, which serves until discovery answers
 }
 
-func newDiscovery(addr string, asked bool, zones []string, c core.Clock, log *slog.Logger) *discovery {
+func newDiscovery(addr string, site wire.Site, c core.Clock, log *slog.Logger) *discovery {
 	return &discovery{
-		addr: addr, asked: asked, zones: zones, clock: c, log: log, wanted: make(chan struct{}, 1), moves: make(chan string),
+		addr: addr, asked: site.Settings.ListAsked, zones: site.Zones, kinds: site.Kinds, clock: c, log: log, wanted: make(chan struct{}, 1), moves: make(chan string),
 		client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 }
@@ -121,15 +124,16 @@
 // follow follows the list at one address until ctx ends.
 func (d *discovery) follow(ctx context.Context) {
 	backoff, down := backoffFirst, false
+	if d.asked && d.known { // the module says when
+		d.ready()
+		d.await(ctx)
+	}
 	for ctx.Err() == nil {
 		err := d.call(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if !d.started {
-			d.started = true
-			d.first()
-		}
+		d.ready()
 		if err == nil {
 			if down {
 				d.log.Info("discovery is back", "rev", d.rev)
@@ -146,10 +150,7 @@
 				<-d.wanted
 			}
 			d.members(policy.ListFailed, nil, nil)
-			select {
-			case <-d.wanted:
-			case <-ctx.Done():
-			}
+			d.await(ctx)
 			continue
 		}
 		select {
@@ -160,6 +161,22 @@
 	}
 }
 
+// ready lets first know, once.
+func (d *discovery) ready() {
+	if !d.started {
+		d.started = true
+		d.first()
+	}
+}
+
+// await waits until the module wants a watch.
+func (d *discovery) await(ctx context.Context) {
+	select {
+	case <-d.wanted:
+	case <-ctx.Done():
+	}
+}
+
 // call makes one call, of the whole list at first and then of what is newer.
 func (d *discovery) call(ctx context.Context) error {
 	address := url.URL{Scheme: "http", Host: d.addr, Path: "/discovery/hosts"}
@@ -211,6 +228,16 @@
 	return nil
 }
 
+// begin takes the list of before, which may be old. Where discovery is asked, the first call is for what
+// is newer: it costs the one service less than the whole list, and more than one call a start.
+func (d *discovery) begin(known hostList) {
+	d.known = known.All && len(known.Targets) > 0
+	if d.asked && d.known {
+		d.listed, d.rev = true, known.Rev
+	}
+	d.hand(policy.ListCached, known.Targets)
+}
+
 // hand gives discovery's lines to the pools that they belong to.
 func (d *discovery) hand(kind policy.ListKind, targets []target) {
 	if d.apart != nil {
@@ -235,7 +262,7 @@
 	entries, endpoints := make([]policy.Entry, len(targets)), make([]string, len(targets))
 	for i, t := range targets {
 		entries[i] = policy.Entry{
-			Server: serverID(t.UID), Zone: slices.Index(d.zones, t.AZ), Cell: t.PodGroup,
+			Server: serverID(t.UID), Zone: slices.Index(d.zones, t.AZ), Cell: t.PodGroup, Kind: slices.Index(d.kinds, t.Model),
 			State: state(t.State), Weight: max(0, t.CapacityHint), Started: d.clock.FromUnixMs(t.BootMs),
 		}
 		endpoints[i] = t.Endpoint
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,7 +17,6 @@
 	"otterstep/internal/operator"
 	"otterstep/internal/sip"
 	"otterstep/internal/web"
-	"otterstep/policy"
 )
 
 const (
@@ -67,7 +66,7 @@
 	servers := (cfg.Sockets - otherSockets) * 9 / 20
 	clients := newClients(cfg.Sockets - otherSockets - servers)
 	up := newUpstream(cfg.Site.ConnIdle, cfg.Site.ConnectTimeout, servers)
-	disco := newDiscovery(cfg.Discovery, set.ListAsked, cfg.Site.Zones, c, log)
+	disco := newDiscovery(cfg.Discovery, cfg.Site, c, log)
 	l, err := core.New(core.Options{Settings: set, Seed: cfg.Seed, Clock: c, Watch: disco.watch, Drop: up.pool.Drop})
 	if err != nil {
 		return err
@@ -103,7 +102,7 @@
 	defer func() { stop(); webs.Wait() }()
 	go l.Run(background)
 	go func() {
-		disco.hand(policy.ListCached, cfg.Known.Targets)
+		disco.begin(cfg.Known)
 		disco.run(background)
 	}()
 	watcher := newInspector(cfg, listener.Addr().String(), l, clients, calls, webs)
--- a/internal/sim/discovery.go
+++ b/internal/sim/discovery.go
@@ -13,11 +13,14 @@
 type discovery struct {
 	world *World
 	away  bool
-	stale bool // what changes is not listed
-	busy  int  // calls that wait or are worked on
-	full  int  // calls turned away, as they would have waited too long
+	stale bool                  // what changes is not listed
+	busy  int                   // calls that wait or are worked on
+	full  int                   // calls turned away, as they would have waited too long
+	calls map[time.Duration]int // by tenths of a second
 }
 
+const tenth = 100 * time.Millisecond
+
 // begin has a node that has just started know what it knows then: all that is listed, or
 // where it has to ask the same as a list from some time ago.
 func (d *discovery) begin(n *node) {
@@ -58,6 +61,7 @@
 			n.members(kind, servers)
 		}
 	}
+	d.calls[w.engine.Now().Truncate(tenth)]++
 	way := w.opt.Net.Latency.Draw(n.rng)
 	wait := time.Duration(d.busy+1) * w.opt.Call
 	if wait > w.opt.AskWait {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -85,7 +85,7 @@
 		opt: o, settings: o.Settings, seed: seed, start: time.Hour, engine: NewEngine(time.Hour),
 		byID: map[policy.ServerID]*Server{},
 	}
-	w.list = &discovery{world: w}
+	w.list = &discovery{world: w, calls: map[time.Duration]int{}}
 	w.settings.Nodes, w.settings.ListAsked = o.Nodes, o.Asked
 	if err := w.settings.Check(); err != nil {
 		return nil, err
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -58,6 +58,7 @@
 	CountedBy  string
 	Deductions struct{ Waste, LateFail, CrossZone float64 }
 	Extra      struct{ WarmKeys bool }
+	Kinds      []string
 	Limits     struct {
 		Cancel, RetryAfter, SecondCopies bool
 		MaxAttempts                      *int
@@ -77,6 +78,7 @@
 	Classes        []string
 	Tenants        []string
 	Zones          []string
+	Kinds          []string      // of machines
 	ConnIdle       time.Duration // a server closes a connection that was idle for so long
 	ConnectTimeout time.Duration
 }
@@ -109,7 +111,7 @@
 		return Site{}, err
 	}
 	site := Site{
-		Settings: s, Zones: j.Zones,
+		Settings: s, Zones: j.Zones, Kinds: j.Kinds,
 		ConnIdle:       j.Limits.ConnIdleMs.or(15 * time.Second),
 		ConnectTimeout: j.Limits.ConnectTimeoutMs.or(250 * time.Millisecond),
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -234,7 +234,7 @@
 		}
 		e.Entries = append(e.Entries, policy.Entry{
 			Server: serverID(raw), Zone: int(binary.BigEndian.Uint16(raw[6:])),
-			Cell: int(binary.BigEndian.Uint16(raw[10:])), State: policy.State(raw[12]), Weight: weight, Started: started,
+			Kind: int(binary.BigEndian.Uint16(raw[8:])), Cell: int(binary.BigEndian.Uint16(raw[10:])), State: policy.State(raw[12]), Weight: weight, Started: started,
 		})
 	}
 	return nil
--- a/policy/api.go
+++ b/policy/api.go
@@ -111,6 +111,7 @@
 	Server  ServerID
 	Zone    int
 	Cell    int
+	Kind    int // of machine: equal ones are alike
 	State   State
 	Weight  float64       // rough size, comparable across servers; 0: unknown
 	Started time.Duration // time of its latest start; 0: long past
--- a/policy/pick.go
+++ b/policy/pick.go
@@ -46,10 +46,14 @@
 	return now >= s.fullUntil && (b.thin() || float64(len(s.out)+1) <= bound)
 }
 
-// thin tells that nodes outnumber servers: a fair bound in flight would be below one
-// request a server here, too coarse to steer by, and one stuck attempt would use it up.
+// thin tells that nodes outnumber servers: a fair bound in flight would be below one request a server
+// here. So it holds for all servers together only.
 func (b *Balancer) thin() bool { return b.set.Nodes > len(b.ready) }
 
+// scant tells that nodes outnumber servers so far that the fair bound would be below one request in all:
+// too coarse to steer by, and one stuck attempt would use it up.
+func (b *Balancer) scant() bool { return float64(b.set.Nodes) > fairStart*float64(len(b.ready)) }
+
 // pick chooses a server for the next attempt, or nil: a half-open server that awaits its
 // trial, else the better of two random closed servers for a first send and the best other
 // closed server for a further one. A thin node draws by weight: it has too little in flight
@@ -63,7 +67,7 @@
 			return s
 		}
 	}
-	if !b.thin() && b.full() {
+	if !b.scant() && b.full() {
 		return nil
 	}
 	b.choices = b.choices[:0]
@@ -118,8 +122,7 @@
 	n := len(b.choices)
 	homes := min(1+int(keySpread*b.popular.share(r.Key)*float64(len(b.ready))), n-1)
 	for _, s := range b.choices {
-		weight := s.size
-		s.rank = -math.Log(uniform(uint64(s.Server)^r.Key*0x9e3779b97f4a7c15)) / weight
+		s.rank = -math.Log(uniform(uint64(s.Server)^r.Key*0x9e3779b97f4a7c15)) / s.capacity()
 	}
 	slices.SortFunc(b.choices, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
 	i := b.rng.IntN(homes)
@@ -153,7 +156,11 @@
 			}
 		}
 	}
-	return out >= max(1, int(b.limit*float64(len(b.ready)-len(b.opened))))
+	bound := b.limit * float64(len(b.ready)-len(b.opened))
+	if b.thin() { // so few that rounding them down at all nodes would leave servers idle
+		bound += b.rounding
+	}
+	return out >= max(1, int(bound))
 }
 
 // consider makes a server one of the choices, if an attempt may go there now.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,6 +28,8 @@
 	copyAfter      = 2.0              // times the expected latency: a second copy may go out
 	copyBudget     = 0.1              // second copies a request, and retries of a thin node
 	copyBurst      = 10.0             // saved up at most
+	fairStart      = 4.0              // requests in flight a server, of all nodes together, at the start
+	crowdingOver   = 64.0             // answers that the crowding is taken over
 	crowdingAim    = 0.3              // log of latency over a lone request's that the bound steers to
 	limitUp        = 0.025            // growth of the bound in a typical latency, while requests wait for it
 	startFaster    = 6.0              // times that until servers were crowded for the first time
@@ -49,7 +51,8 @@
 	sampleOf       = 24               // so many for a pick
 	sweepEvery     = 10 * time.Millisecond
 	watchAgain     = 500 * time.Millisecond
-	attemptsMost   = 16 // whatever the settings allow
+	watchApart     = 100 * time.Millisecond // between two nodes' calls
+	attemptsMost   = 16                     // whatever the settings allow
 )
 
 // scanPer times the number of servers is how often all of many are looked at.
@@ -61,19 +64,35 @@
 // the start, and again after each failure, with growing delays.
 func (b *Balancer) Members(now time.Duration, kind ListKind, entries []Entry) {
 	if kind == ListFailed {
-		b.host.SetTimer(now+b.jitter(b.watchDelay), tokenWatch)
+		b.host.SetTimer(now+b.jitter(b.watchDelay)+b.turn(b.watchSpread), tokenWatch)
 		b.watchDelay = min(2*b.watchDelay, b.set.Rules.MustAsk/4+watchAgain)
+		b.watchSpread = min(2*b.watchSpread, b.set.Rules.MustAsk)
 		return
 	}
-	b.watchDelay = watchAgain
+	b.watchDelay, b.watchSpread = watchAgain, b.spread()
 	if kind == ListCached && b.set.ListAsked {
-		b.host.WatchList()
+		if b.watchSpread > 0 {
+			b.host.SetTimer(now+b.turn(b.watchSpread), tokenWatch)
+		} else {
+			b.host.WatchList()
+		}
 	}
 	b.list(kind, entries)
 	b.refreshed = -1
 	b.dispatch(now)
 }
 
+// spread is the time over which the nodes spread their calls for the list. One service answers them all in
+// turn, and one that is asked by all at once has made every caller wait in vain by the time it gets to it.
+func (b *Balancer) spread() time.Duration {
+	return min(time.Duration(b.set.Nodes-1)*watchApart, b.set.Rules.MustAsk/2)
+}
+
+// turn is this node's time in a spread.
+func (b *Balancer) turn(spread time.Duration) time.Duration {
+	return time.Duration(b.rng.Float64() * float64(spread))
+}
+
 // coldShare is the share of its capacity that a server has at least.
 func (b *Balancer) coldShare(s *server, now time.Duration) float64 {
 	age := max(0, now-s.Started)
@@ -254,7 +273,9 @@
 		b.limit = max(least, b.limit*(1-limitDown*min(excess, 0.2)*rounds))
 		b.limitKnown *= 1 - seconds/limitFor
 	case (len(b.held) > 0 || crossed) && b.loneSeen >= loneNeeded:
-		if !b.crowded {
+		if b.thin() { // growth must not run ahead of what few answers tell
+			rounds = min(rounds, 2.0/crowdingOver)
+		} else if !b.crowded {
 			rounds *= startFaster
 		}
 		b.limit *= 1 + limitUp*rounds
@@ -346,7 +367,7 @@
 	b.demand.add(now, b.loneLatency(r))
 	b.popular.add(q.Key)
 	b.copyTokens = min(b.copyTokens+copyBudget, copyBurst)
-	if b.thin() && !b.admit(now, over) {
+	if b.scant() && !b.admit(now, over) {
 		b.giveUp(now, r)
 	} else {
 		b.hold(r)
@@ -433,7 +454,7 @@
 // judge takes an outcome into the server's health, but none of what a former process was sent.
 func (b *Balancer) judge(now time.Duration, r *request, a *attempt, o Outcome) {
 	s := a.server
-	if b.thin() && (o.Status == OK || o.Status == Full || o.Status == Timeout) {
+	if b.scant() && (o.Status == OK || o.Status == Full || o.Status == Timeout) {
 		b.press(now, r, o)
 	}
 	if a.sent < s.Started || r.stream && r.class.Parked && o.Ended && o.Status == OK { // Started did
@@ -445,7 +466,7 @@
 		s.record(now, true, latency)
 		b.succeeded(now, a)
 		b.remember(r.Key, s)
-		if b.measure(a, r, o.Latency.Seconds()) && !b.thin() {
+		if b.measure(a, r, o.Latency.Seconds()) && !b.scant() {
 			b.steer(now)
 		}
 		b.earn(now, r, s)
@@ -454,7 +475,7 @@
 		b.failed(now, a, false)
 	case Timeout:
 		// Impatient clients make short time-outs, which say nothing of the server.
-		if s.answeredAt > a.sent && b.overran(a, r, o.Latency.Seconds()) && !b.thin() {
+		if s.answeredAt > a.sent && b.overran(a, r, o.Latency.Seconds()) && !b.scant() {
 			b.steer(now)
 		}
 		if latency > b.meanLatency*silentAfter {
@@ -554,6 +575,9 @@
 	if !overdue || r.out > 1 || !b.set.Limits.SecondCopies || b.copyTokens < 1 || now+expected > r.useful {
 		return
 	}
+	if b.thin() { // what is overdue at so many nodes is a crowd, which copies feed
+		return
+	}
 	if s := b.pick(now, r); s != nil {
 		b.copyTokens--
 		b.send(now, r, s)
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -31,9 +31,9 @@
 	}
 	b := &Balancer{
 		set: set, host: host, rng: rand.New(rand.NewPCG(seed, 0)),
-		servers: map[ServerID]*server{}, keys: map[uint64]*server{}, requests: map[RequestID]*request{},
-		meanSuccess: 1, meanLatency: 1, refreshed: -1, watchDelay: watchAgain,
-		admitted: 1, limit: min(1, 3/float64(set.Nodes)),
+		servers: map[ServerID]*server{}, keys: map[uint64]*server{}, kinds: map[int]*model{}, requests: map[RequestID]*request{},
+		meanSuccess: 1, meanLatency: 1, refreshed: -1, watchDelay: watchAgain, watchSpread: watchApart,
+		admitted: 1, rounding: uniform(seed), limit: min(1, fairStart/float64(set.Nodes)),
 	}
 	b.set.Limits.MaxAttempts = min(set.Limits.MaxAttempts, attemptsMost)
 	for _, c := range set.Classes {
--- a/policy/state.go
+++ b/policy/state.go
@@ -31,7 +31,8 @@
 type server struct {
 	Entry
 	breaker  breaker
-	near     bool            // in this node's zone
+	near     bool // in this node's zone
+	kind     *model
 	failures []time.Duration // consecutive failures within the window
 	openFor  time.Duration
 	reopenAt time.Duration // when open: turns half-open
@@ -119,6 +120,14 @@
 	hinted    float64
 }
 
+// model is a kind of machine.
+type model struct {
+	latency float64 // mean of its answers' latencies over lone ones', as a logarithm
+	seen    float64
+}
+
+const kindOutcomes = 100.0 // answers that a kind is known by
+
 // bucket is a token bucket of one second's worth; without a rate it never ends.
 type bucket struct {
 	perSecond, tokens float64
@@ -151,8 +160,9 @@
 	weight  float64   // mean of the ready servers
 	usable  int       // closed or awaiting a trial, as of the last refresh
 	choices []*server
-	passing []*server          // scratch space of narrow
-	crossed bool               // a request went to another zone for want of room, since the bound was moved
+	passing []*server // scratch space of narrow
+	crossed bool      // a request went to another zone for want of room, since the bound was moved
+	kinds   map[int]*model
 	keys    map[uint64]*server // who served a key last
 	popular popularity
 
@@ -172,6 +182,7 @@
 	shares      float64 // of their capacity that all ready servers have, summed
 	out         int     // own attempts in flight
 	limit       float64 // bound on them for each ready server; may be below one
+	rounding    float64 // in [0,1): of the bound on all, where that is a few
 	loneSeen    int
 	crowded     bool
 	limitKnown  float64 // the highest lately without a crowd
@@ -185,6 +196,7 @@
 	copyTokens  float64
 	sweeping    bool
 	watchDelay  time.Duration
+	watchSpread time.Duration
 }
 
 func (s *server) forget(oldest *outcome) {
@@ -257,6 +269,10 @@
 		listed := s.State == Ready
 		s.Entry = e
 		s.near = e.Zone == b.set.Zone
+		if s.kind = b.kinds[e.Kind]; s.kind == nil {
+			s.kind = &model{}
+			b.kinds[e.Kind] = s.kind
+		}
 		if e.State == Ready && !listed {
 			b.ready = append(b.ready, s)
 		}
@@ -452,6 +468,9 @@
 		c.work += (latency - c.work) / c.seen // by all answers: lone ones are rare in a busy fleet
 	}
 	latency *= b.asWarm(a)
+	k := s.kind
+	k.seen = min(k.seen+1, kindOutcomes)
+	k.latency += (math.Log(max(latency, 1e-4)/b.loneLatency(r)) - k.latency) / k.seen
 	if a.lone {
 		c.loneSeen = min(c.loneSeen+1, 400)
 		c.lone += (latency/r.size() - c.lone) / c.loneSeen
@@ -471,7 +490,7 @@
 	if s.loneSeen == 0 {
 		return false
 	}
-	b.crowding += (relative - s.lone - b.crowding) / 64
+	b.crowding += (relative - s.lone - b.crowding) / crowdingOver
 	return true
 }
 
@@ -492,7 +511,7 @@
 	if excess <= b.crowding { // an impatient client's says nothing
 		return false
 	}
-	b.crowding += (excess - b.crowding) / 64
+	b.crowding += (excess - b.crowding) / crowdingOver
 	return true
 }
 
@@ -574,6 +593,10 @@
 	b.cancel(r, a)
 }
 
+// capacity is what a server can do, as a multiple of the others: its weight, corrected by how long its kind
+// takes to answer. One server answers a node too seldom to tell.
+func (s *server) capacity() float64 { return s.size * math.Exp(-s.kind.latency) }
+
 // draw gives one of the choices but one, at random in proportion to their weights
 // and what they can do while cold.
 func (b *Balancer) draw(but int) (pick int) {
@@ -582,11 +605,7 @@
 		if i == but {
 			continue
 		}
-		weight := s.Weight
-		if weight <= 0 {
-			weight = max(b.weight, 1)
-		}
-		weight *= b.coldShare(s, b.refreshed)
+		weight := s.capacity() * b.coldShare(s, b.refreshed)
 		if total += weight; b.rng.Float64()*total <= weight {
 			pick = i
 		}
--- a/policy/thin_test.go
+++ b/policy/thin_test.go
@@ -256,3 +256,28 @@
 		t.Fatal("nothing is sent to a fleet that started cold")
 	}
 }
+
+// Guards against a crowd of nodes that each send on whatever comes: all together they fill the servers, which then get
+// less done. Beyond its part of what servers take at a time a node holds its requests, and sheds what waits too long.
+func TestThinNodeBoundsWhatItHasInFlight(t *testing.T) {
+	set := testSettings()
+	r := newFleet(t, set, 80, 60)[0]
+	most := int(fairStart*60/80) + 1
+	for range 20 {
+		r.request(0)
+	}
+	if n := len(r.h.sends); n < most-1 || n > most || len(r.b.held) != 20-n {
+		t.Fatalf("%d of 20 requests out, %d held; want %d out at most", n, len(r.b.held), most)
+	}
+	r.end(r.h.sends[0].id, OK, 20*ms)
+	if n := len(r.h.sends); n > most+1 {
+		t.Fatalf("%d sent after one answer", n)
+	}
+	r.pass(2 * time.Second)
+	if open := len(r.b.open); open > most {
+		t.Fatalf("%d requests still open long after their time", open)
+	}
+	if r.b.scant() {
+		t.Fatal("80 nodes over 60 servers count as too many for a bound")
+	}
+}
