Module: a thin node leaves a full or jammed server alone until it would meet it again

Each of 80 nodes meets such a server every 3 s and kept away for the 0.1 s that a request takes (policy/policy.go, judge, case Full), so that it got as much as before, stayed jammed, and held the fleet's bounds. Now a node keeps away until it would have met the server again, also after an answer four times as slow as a lone one. A key gets more servers too (5 for each that it would fill, was 2): hot ones began the jams.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,31 +24,33 @@
 	openFirst      = 2 * time.Second  // an open breaker turns half-open after this,
 	openMost       = 30 * time.Second // doubled with each failed trial up to this
 	backoffPart    = 1.0 / 16         // first retry delay as a share of the class's aim; doubles
-	silentAfter    = 4.0              // times the expected latency: an unanswered attempt counts as a failure
-	copyAfter      = 2.0              // times the expected latency: a second copy may go out
-	copyBudget     = 0.1              // second copies a request, and retries of a thin node
-	copyBurst      = 10.0             // saved up at most
-	fairStart      = 4.0              // requests in flight a server, of all nodes together, at the start
-	crowdingOver   = 64.0             // answers that the crowding is taken over
-	crowdingAim    = 0.3              // log of latency over a lone request's that the bound steers to
-	limitUp        = 0.025            // growth of the bound in a typical latency, while requests wait for it
-	startFaster    = 6.0              // times that until servers were crowded for the first time
-	loneNeeded     = 60               // lone latencies before the bound may grow
-	loneSettled    = 12               // lone latencies of a class before its mean serves as a yardstick
-	limitDown      = 0.1              // its shrinking in a typical latency for each unit of excess
-	limitFor       = 60.0             // seconds over which a bound that was known to be good is forgotten
-	pressureAim    = 0.5              // of the stretched aim: the latency that thin nodes steer to
-	pressureOver   = 16               // answers that it is taken over,
-	pressureFor    = 2.0              // and seconds: few answers weigh more each
-	shedRate       = 2.0              // fall of the admitted share a second, for each unit of excess
-	admitRate      = 0.5              // and its growth, for each unit of slack
-	admitLeast     = 0.05             // stays admitted to see a recovery, yet lets choked servers rest
-	earnedMost     = 1.0 / 3          // of what they get done in FallFor: saved up at most
-	earnedLeast    = 2.0              // or so many requests
-	coldSafety     = 0.75             // of the multiple that pushes cold servers over
-	keySpread      = 2.0              // servers of a key for each that its part of the requests would fill
-	scanMost       = 64               // servers: of more, a few at random stand for all
-	sampleOf       = 24               // so many for a pick
+	jammedAfter    = 4.0              // times a lone latency: a thin node takes the server for jammed
+	meetingMost    = 5 * time.Second
+	silentAfter    = 4.0     // times the expected latency: an unanswered attempt counts as a failure
+	copyAfter      = 2.0     // times the expected latency: a second copy may go out
+	copyBudget     = 0.1     // second copies a request, and retries of a thin node
+	copyBurst      = 10.0    // saved up at most
+	fairStart      = 4.0     // requests in flight a server, of all nodes together, at the start
+	crowdingOver   = 64.0    // answers that the crowding is taken over
+	crowdingAim    = 0.3     // log of latency over a lone request's that the bound steers to
+	limitUp        = 0.025   // growth of the bound in a typical latency, while requests wait for it
+	startFaster    = 6.0     // times that until servers were crowded for the first time
+	loneNeeded     = 60      // lone latencies before the bound may grow
+	loneSettled    = 12      // lone latencies of a class before its mean serves as a yardstick
+	limitDown      = 0.1     // its shrinking in a typical latency for each unit of excess
+	limitFor       = 60.0    // seconds over which a bound that was known to be good is forgotten
+	pressureAim    = 0.5     // of the stretched aim: the latency that thin nodes steer to
+	pressureOver   = 16      // answers that it is taken over,
+	pressureFor    = 2.0     // and seconds: few answers weigh more each
+	shedRate       = 2.0     // fall of the admitted share a second, for each unit of excess
+	admitRate      = 0.5     // and its growth, for each unit of slack
+	admitLeast     = 0.05    // stays admitted to see a recovery, yet lets choked servers rest
+	earnedMost     = 1.0 / 3 // of what they get done in FallFor: saved up at most
+	earnedLeast    = 2.0     // or so many requests
+	coldSafety     = 0.75    // of the multiple that pushes cold servers over
+	keySpread      = 5.0     // servers of a key for each that its part of the requests would fill
+	scanMost       = 64      // servers: of more, a few at random stand for all
+	sampleOf       = 24      // so many for a pick
 	sweepEvery     = 10 * time.Millisecond
 	watchAgain     = 500 * time.Millisecond
 	watchApart     = 100 * time.Millisecond // between two nodes' calls
@@ -464,6 +466,9 @@
 	switch o.Status {
 	case OK:
 		s.record(now, true, latency)
+		if b.thin() && latency > jammedAfter {
+			s.fullUntil = now + b.meeting(r)
+		}
 		b.succeeded(now, a)
 		b.remember(r.Key, s)
 		if b.measure(a, r, o.Latency.Seconds()) && !b.scant() {
@@ -486,6 +491,9 @@
 		}
 	case Full:
 		s.fullUntil = now + b.expected(r)
+		if b.thin() {
+			s.fullUntil = now + b.meeting(r)
+		}
 	case Cancelled:
 		s.record(now, !a.silent, max(latency, s.latency)) // it would have taken longer
 	}
@@ -494,6 +502,16 @@
 	}
 }
 
+// meeting is how long it takes a thin node to send each server such a request once. It leaves one that is
+// full or jammed alone for so long: it meets each so seldom that in a shorter time no node would keep away,
+// and a server that is overrun by many needs them to.
+func (b *Balancer) meeting(r *request) time.Duration {
+	if b.warmRate <= 0 {
+		return b.expected(r)
+	}
+	return min(time.Duration(b.loneLatency(r)*float64(b.warm)/b.warmRate*float64(time.Second)), meetingMost)
+}
+
 // retry waits for the backoff of a further attempt, or answers now if none fits.
 func (b *Balancer) retry(now time.Duration, r *request) {
 	first := time.Duration(float64(r.class.Aim) * backoffPart)
--- a/policy/thin_test.go
+++ b/policy/thin_test.go
@@ -281,3 +281,46 @@
 		t.Fatal("80 nodes over 60 servers count as too many for a bound")
 	}
 }
+
+// Guards against a server that is overrun by many nodes, none of which sends it enough to see that: one that turned a
+// request away, or took several times as long as it should, is left alone until the node would have met it again.
+func TestThinNodeLeavesOverrunServersAlone(t *testing.T) {
+	for name, c := range map[string]struct {
+		status  Status
+		latency time.Duration
+		left    bool
+	}{
+		"full":   {Full, ms, true},
+		"jammed": {OK, 300 * ms, true},
+		"usual":  {OK, 60 * ms, false},
+	} {
+		r := newFleet(t, testSettings(), 80, 60)[0]
+		r.serve(400, 0, 50*ms)
+		id := r.request(0)
+		bad := r.sendsOf(id)[0]
+		from := r.now
+		r.end(id, c.status, c.latency)
+		meeting := r.b.meeting(&request{class: &r.b.classes[0]})
+		if meeting < 500*ms || meeting > meetingMost {
+			t.Fatalf("%s: a meeting takes %v", name, meeting)
+		}
+		sent, back := 0, 0
+		for r.now < from+20*time.Second {
+			id := r.request(0)
+			for _, s := range r.sendsOf(id) {
+				switch {
+				case s != bad:
+				case r.now < from+meeting:
+					sent++
+				default:
+					back++
+				}
+			}
+			r.end(id, OK, 50*ms)
+			r.pass(20 * ms)
+		}
+		if (sent == 0) != c.left || back == 0 {
+			t.Errorf("%s: %d requests sent there within %v, %d in the 20 s after", name, sent, meeting, back)
+		}
+	}
+}
