--- a/policy/pick.go
+++ b/policy/pick.go
@@ -71,18 +71,26 @@
 		return nil
 	}
 	b.choices = b.choices[:0]
-	if b.large() {
+	from, keyed := b.ready, b.thin() && b.set.WarmKeys && r.Key != 0
+	if b.thin() {
+		from = b.mine
+	}
+	if b.large() && !keyed { // else the servers of a key have to be among them
 		for range sampleOf {
-			b.consider(now, r, b.ready[b.rng.IntN(len(b.ready))])
+			b.consider(now, r, from[b.rng.IntN(len(from))])
 		}
 		if warm := b.keys[r.Key]; b.set.WarmKeys && r.Key != 0 && warm != nil {
 			b.consider(now, r, warm)
 		}
 	}
-	if len(b.choices) == 0 {
-		for _, s := range b.ready {
+	for len(b.choices) == 0 {
+		for _, s := range from {
 			b.consider(now, r, s)
 		}
+		if len(from) == len(b.ready) {
+			break
+		}
+		from = b.ready
 	}
 	b.suit(now, r)
 	n := len(b.choices)
@@ -90,7 +98,7 @@
 		return nil
 	}
 	if len(r.attempts) == 0 && n > 2 {
-		if b.thin() && b.set.WarmKeys && r.Key != 0 {
+		if keyed {
 			return b.home(r)
 		}
 		i := b.rng.IntN(n)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,6 +26,8 @@
 	backoffPart    = 1.0 / 16         // first retry delay as a share of the class's aim; doubles
 	jammedAfter    = 4.0              // times a lone latency: a thin node takes the server for jammed
 	meetingMost    = 5 * time.Second
+	leftMost       = 4       // one server in so many is left alone at most
+	subsetLeast    = 8       // servers that a thin node keeps to, at least
 	silentAfter    = 4.0     // times the expected latency: an unanswered attempt counts as a failure
 	copyAfter      = 2.0     // times the expected latency: a second copy may go out
 	copyBudget     = 0.1     // second copies a request, and retries of a thin node
@@ -467,7 +469,7 @@
 	case OK:
 		s.record(now, true, latency)
 		if b.thin() && latency > jammedAfter {
-			s.fullUntil = now + b.meeting(r)
+			s.fullUntil = now + b.meeting(now, r)
 		}
 		b.succeeded(now, a)
 		b.remember(r.Key, s)
@@ -492,7 +494,7 @@
 	case Full:
 		s.fullUntil = now + b.expected(r)
 		if b.thin() {
-			s.fullUntil = now + b.meeting(r)
+			s.fullUntil = now + b.meeting(now, r)
 		}
 	case Cancelled:
 		s.record(now, !a.silent, max(latency, s.latency)) // it would have taken longer
@@ -505,8 +507,14 @@
 // meeting is how long it takes a thin node to send each server such a request once. It leaves one that is
 // full or jammed alone for so long: it meets each so seldom that in a shorter time no node would keep away,
 // and a server that is overrun by many needs them to.
-func (b *Balancer) meeting(r *request) time.Duration {
-	if b.warmRate <= 0 {
+func (b *Balancer) meeting(now time.Duration, r *request) time.Duration {
+	left := 0
+	for _, s := range b.ready {
+		if now < s.fullUntil {
+			left++
+		}
+	}
+	if b.warmRate <= 0 || leftMost*left >= len(b.ready) {
 		return b.expected(r)
 	}
 	return min(time.Duration(b.loneLatency(r)*float64(b.warm)/b.warmRate*float64(time.Second)), meetingMost)
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 // What a Balancer remembers, and the bookkeeping on it. Nothing is decided here.
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -55,7 +56,7 @@
 	loneSeen  float64
 	fullUntil time.Duration // it turned a request away as full
 
-	rank      float64 // scratch space of home
+	rank      float64 // scratch space of home and subset
 	rate      meter   // work sent to it
 	done      meter   // work that it has served while it is cold
 	earned    float64 // work that it may be sent while it is cold, by what it served
@@ -156,7 +157,8 @@
 
 	servers map[ServerID]*server
 	ready   []*server // listed as ready, in the order of the list
-	opened  []*server // of these, those whose breaker is not closed
+	mine    []*server // of these, the ones that a thin node keeps to
+	opened  []*server // of the ready ones, those whose breaker is not closed
 	weight  float64   // mean of the ready servers
 	usable  int       // closed or awaiting a trial, as of the last refresh
 	choices []*server
@@ -296,6 +298,7 @@
 			s.size = s.Weight / b.weight
 		}
 	}
+	b.subset()
 	for id, s := range b.servers {
 		if s.State == Gone && len(s.out) == 0 {
 			delete(b.servers, id)
@@ -303,6 +306,19 @@
 	}
 }
 
+// subset chooses the servers that this node keeps to while it is thin, the same ones as long as they stay:
+// each node meets fewer of them more often and holds fewer connections, and all nodes together meet all
+// (after "Load Balancing in the Datacenter", Site Reliability Engineering, 2016; by rendezvous hashing, so
+// that a server that comes or goes changes nothing else).
+func (b *Balancer) subset() {
+	b.mine = append(b.mine[:0], b.ready...)
+	for _, s := range b.mine {
+		s.rank = uniform(uint64(s.Server) ^ math.Float64bits(b.rounding))
+	}
+	slices.SortFunc(b.mine, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
+	b.mine = b.mine[:min(len(b.mine), max(subsetLeast, (len(b.mine)+1)/2))]
+}
+
 // newRequest adds a request to the open ones.
 func (b *Balancer) newRequest(q Request, c *class) *request {
 	if q.Hint > 0 {
