Discovery: a node moved to another address asks there at once; older lists tested

Found on reading the diff again: where discovery is asked, follow waited for the module's word whenever there was a list of before (internal/node/discovery.go), also after a reload had moved the node to another address, where nobody gives that word: the node would have kept its list for good. It waits before the first call of all only. The count of older versions starts anew at another address.

New tests on loopback: a start from the list of before makes one call, a watch, after the module's word, and a move asks at once (times out without the mend); an older version or an unreadable answer changes nothing and is named in the log.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -55,12 +55,13 @@
 	rev     int64
 	listed  bool // rev is discovery's own
 	older   int  // answers in a row with a version from before rev
-	known   bool // there is a list of before, which serves until discovery answers
+	known   bool // there is a list of before, which serves until the first call
 }
 
 func newDiscovery(addr string, site wire.Site, c core.Clock, log *slog.Logger) *discovery {
 	return &discovery{
-		addr: addr, asked: site.Settings.ListAsked, zones: site.Zones, kinds: site.Kinds, clock: c, log: log, wanted: make(chan struct{}, 1), moves: make(chan string),
+		addr: addr, asked: site.Settings.ListAsked, zones: site.Zones, kinds: site.Kinds, clock: c, log: log,
+		wanted: make(chan struct{}, 1), moves: make(chan string),
 		client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 }
@@ -92,7 +93,7 @@
 		leave()
 		<-ended
 		d.client.CloseIdleConnections()
-		d.addr, d.rev, d.listed = next, 0, false
+		d.addr, d.rev, d.listed, d.older = next, 0, false, 0
 	}
 }
 
@@ -107,7 +108,8 @@
 // follow follows the list at one address until ctx ends.
 func (d *discovery) follow(ctx context.Context) {
 	backoff, down := backoffFirst, false
-	if d.asked && d.known { // the module says when
+	if d.asked && d.known { // the module says when to make the first call of all
+		d.known = false
 		d.ready()
 		d.await(ctx)
 	}
