--- a/cmd/otteragent/main.go
+++ b/cmd/otteragent/main.go
@@ -30,7 +30,7 @@
 
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "otteragent", Short: "Looks after one machine's instances of the node", Version: buildinfo.Version()}
-	file := ""
+	file, first := "", false
 	load := func() (agent.Config, error) {
 		cfg, err := agent.LoadConfig(file)
 		if err != nil {
@@ -47,7 +47,7 @@
 			}
 			a, err := agent.New(cfg, agent.Options{
 				Launcher: []string{"/proc/self/exe", launchWord}, Version: buildinfo.Version(),
-				Log: slog.New(slog.NewTextHandler(os.Stderr, nil)),
+				Log: slog.New(slog.NewTextHandler(os.Stderr, nil)), First: first,
 			})
 			if err != nil {
 				return err
@@ -55,6 +55,7 @@
 			return a.Run(c.Context())
 		},
 	}
+	run.Flags().BoolVar(&first, "first", false, "this agent starts for the first time: an empty state folder is no loss. With [council] the first of its voters founds it once all are there")
 	check := &cobra.Command{
 		Use: "check", Short: "Say all that is wrong with the agent's file, and start nothing", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -16,10 +16,18 @@
 
 	"otterstep/internal/buildinfo"
 	"otterstep/internal/cli"
+	"otterstep/internal/fleet/proc"
 	"otterstep/internal/standin/lab"
 )
 
-func main() { os.Exit(cli.Run(command())) }
+func main() {
+	if len(os.Args) > 4 && os.Args[1] == launchWord {
+		if err := proc.Launch(os.Args[2], os.Args[3], os.Args[4:]); err != nil {
+			os.Exit(cli.Failed)
+		}
+	}
+	os.Exit(cli.Run(command()))
+}
 
 type options struct {
 	lab lab.Options
@@ -39,7 +47,7 @@
 
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "otterlab", Short: "A fleet on loopback, to look at and to break", Version: buildinfo.Version()}
-	root.AddCommand(demo(), upgrade(), up(), box(), status(), guard(), experiments(), loadCommand())
+	root.AddCommand(demo(), upgrade(), up(), box(), status(), guard(), faultsCommand(), agentCommand(), ownersCommand(), comeback(), experiments(), loadCommand())
 	return root
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,8 +1,10 @@
 // Package control is a node's control socket: a Unix socket on which the machine's
-// agent asks what the node is doing. It changes nothing.
+// agent asks what the node is doing, and says what becomes of what the node keeps for its way back. It
+// changes nothing of what the node does.
 package control
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -28,6 +30,7 @@
 	connectionsMost = 8 // open at once; further ones wait in the kernel
 	answerWithin    = 2 * time.Second
 	answerMost      = 4 << 20
+	keepMost        = 4 << 10
 )
 
 // Server is a listed server as the node sees it.
@@ -62,9 +65,50 @@
 	Memory      Memory                      `json:"memory"`
 	Counts      map[string]map[string]int64 `json:"counts"` // by class and outcome, since the start
 	SIP         *SIP                        `json:"sip,omitempty"`
+	Return      *Return                     `json:"return,omitempty"` // where something is kept
 	Web         []Web                       `json:"web,omitempty"`
 }
 
+// Return is what the node keeps for its way back, and what it found of before.
+type Return struct {
+	Heard    bool      `json:"heard"` // discovery has answered since the start
+	Used     bool      `json:"used"`  // the node began with the servers that were kept
+	Servers  int       `json:"servers"`
+	Rev      int64     `json:"rev"`
+	Saved    time.Time `json:"saved"`
+	AgeMs    int64     `json:"age_ms"` // of what was found, at the start
+	AgeKnown bool      `json:"age_known"`
+	Said     []string  `json:"said,omitempty"`    // what was wrong with it
+	Failure  string    `json:"failure,omitempty"` // of the latest save
+	Held     bool      `json:"held,omitempty"`    // nothing but calls by hand is written
+	Hand     int       `json:"hand"`              // calls by hand that are kept
+	Doubted  int       `json:"doubted"`           // servers in use that discovery has not confirmed
+}
+
+// Keep is what is to become of what a node keeps.
+type Keep struct {
+	Do string `json:"do"` // one of the words below
+}
+
+// The words of Keep.
+const (
+	KeepForget  = "forget"  // servers and figures are dropped from the disk; calls by hand stay
+	KeepHold    = "hold"    // the files stay as they are, but for calls by hand
+	KeepRelease = "release" // and are written again
+)
+
+// Check names what is wrong.
+func (k Keep) Check() error {
+	switch k.Do {
+	case KeepForget, KeepHold, KeepRelease:
+		return nil
+	}
+	return fmt.Errorf("do: %q is none of %s, %s, %s", k.Do, KeepForget, KeepHold, KeepRelease)
+}
+
+// ErrNothingKept means that the node keeps nothing for its way back.
+var ErrNothingKept = errors.New("this node keeps nothing: its operator's file has no kept.file")
+
 // Web is a front for ordinary HTTP. Counts are since the start.
 type Web struct {
 	Name        string                      `json:"name"`
@@ -130,16 +174,35 @@
 	Limit uint64 `json:"limit"`
 }
 
-// Serve answers on the socket at path until ctx ends. inspect is never called
-// more than once at a time: those who ask meanwhile share its answer.
-func Serve(ctx context.Context, path string, inspect func(context.Context) (Inspection, error), log *slog.Logger) error {
+// Node is whom a control socket speaks for.
+type Node interface {
+	// Inspect tells what the node is doing. It is never called more than once at a time: those who ask
+	// meanwhile share its answer.
+	Inspect(ctx context.Context) (Inspection, error)
+	// Keep carries out a Keep whose word is known; it returns once that is on the disk.
+	Keep(k Keep) error
+}
+
+// Serve answers on the socket at path until ctx ends.
+func Serve(ctx context.Context, path string, node Node, log *slog.Logger) error {
 	l, err := Listen(path)
 	if err != nil {
 		return fmt.Errorf("control socket: %w", err)
 	}
-	h := &handler{inspect: inspect}
+	h := &handler{inspect: node.Inspect}
 	mux := http.NewServeMux()
 	mux.Handle("GET /v1/inspect", h)
+	mux.HandleFunc("POST /v1/kept", func(w http.ResponseWriter, r *http.Request) {
+		var k Keep
+		err := json.NewDecoder(io.LimitReader(r.Body, keepMost)).Decode(&k)
+		if err = errors.Join(err, k.Check()); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if err := node.Keep(k); err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+		}
+	})
 	s := &http.Server{
 		Handler: mux, ReadTimeout: answerWithin, WriteTimeout: 2 * answerWithin, MaxHeaderBytes: 4 << 10,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -240,17 +303,42 @@
 	close(p.done)
 }
 
+// way leads to the node whose control socket is at path.
+func way(path string) *http.Transport {
+	return &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "unix", path)
+	}}
+}
+
+// TellKept has the node whose control socket is at path do something with what it keeps.
+func TellKept(ctx context.Context, path string, k Keep) error {
+	text, err := json.Marshal(k)
+	if err != nil {
+		return fmt.Errorf("kept: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://node/v1/kept", bytes.NewReader(text))
+	if err != nil {
+		return fmt.Errorf("kept: %w", err)
+	}
+	resp, err := way(path).RoundTrip(req)
+	if err != nil {
+		return fmt.Errorf("kept: %w", err)
+	}
+	defer resp.Body.Close()
+	if said, _ := io.ReadAll(io.LimitReader(resp.Body, keepMost)); resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("kept: the node answered %s: %.200s", resp.Status, bytes.TrimSpace(said))
+	}
+	return nil
+}
+
 // Inspect asks the node whose control socket is at path.
 func Inspect(ctx context.Context, path string) (Inspection, error) {
 	var i Inspection
-	t := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		return new(net.Dialer).DialContext(ctx, "unix", path)
-	}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://node/v1/inspect", nil)
 	if err != nil {
 		return i, fmt.Errorf("inspect: %w", err)
 	}
-	resp, err := t.RoundTrip(req)
+	resp, err := way(path).RoundTrip(req)
 	if err != nil {
 		return i, fmt.Errorf("inspect: %w", err)
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -118,6 +118,12 @@
 	return mem, err
 }
 
+// Learnt gives what the module has learnt, to be kept, and changes nothing.
+func (l *Loop) Learnt(ctx context.Context) (mem policy.Memory, err error) {
+	err = l.do(ctx, func() { mem = l.machine.Learnt(l.clock.Now()) })
+	return mem, err
+}
+
 // Recall takes over what another process of the same node has learnt.
 func (l *Loop) Recall(ctx context.Context, mem policy.Memory) (err error) {
 	var bad error
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -200,6 +200,12 @@
 	return mem
 }
 
+// Learnt gives what the module has learnt, to be kept.
+func (m *Machine) Learnt(now time.Duration) (mem policy.Memory) {
+	m.step(now, func() { mem = m.balancer.Learnt(m.now) })
+	return mem
+}
+
 // Recall takes over what another process of the same node has learnt.
 func (m *Machine) Recall(now time.Duration, mem policy.Memory) (err error) {
 	m.step(now, func() { err = m.balancer.Recall(m.now, mem) })
--- a/internal/experiment/search_test.go
+++ b/internal/experiment/search_test.go
@@ -11,6 +11,7 @@
 
 	"otterstep/internal/ledger"
 	"otterstep/internal/sim"
+	"otterstep/internal/standin/racing"
 )
 
 func load(t testing.TB, name string) *Experiment {
@@ -26,6 +27,7 @@
 // file that it writes shows the same when it is read and played again, and another build
 // (here: one without the fault) is told apart.
 func TestHuntFindsAndShrinks(t *testing.T) {
+	racing.Skip(t)
 	for rule, plant := range map[ledger.Breach]sim.Planted{
 		ledger.PushedOver:   {}, // random choice does that: it sends cold servers as much as others
 		ledger.SecondAnswer: {Echo: true},
@@ -106,6 +108,7 @@
 }
 
 func TestSweep(t *testing.T) {
+	racing.Skip(t)
 	file := "../../experiments/hang.toml"
 	steps, err := Sweep(t.Context(), file, "fleet.parallel", []string{"4", "1"}, "ours", 1, 1, func() {})
 	if err != nil {
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -18,10 +18,13 @@
 
 	"golang.org/x/sys/unix"
 
+	"otterstep/internal/boottime"
 	"otterstep/internal/fleet/book"
+	"otterstep/internal/fleet/council"
 	"otterstep/internal/fleet/instance"
 	"otterstep/internal/fleet/protocol"
 	"otterstep/internal/fleet/record"
+	"otterstep/internal/fleet/recovery"
 )
 
 const (
@@ -39,6 +42,16 @@
 	Log      *slog.Logger
 	FS       record.FS       // the system's if nil
 	Runner   instance.Runner // real processes if nil
+
+	// First tells that the operator starts this agent for the first time: an empty folder is no
+	// loss then. A council's voters found it.
+	First bool
+	// What follows is for an agent whose file has [council].
+	Clock boottime.Clock // the system's if nil
+	// Disk opens the council's stores; the usual ones if nil.
+	Disk func(dir string) (council.Stores, error)
+	// Steps, if set, is told of each step of an owner's order before it is taken.
+	Steps func(step, instance string)
 }
 
 // Agent is one machine's. Run it with Run.
@@ -50,18 +63,21 @@
 	version string
 	guard   *os.File // locked: one agent to a folder
 	refused refusals
+	council *councillor // nil without [council]
+	steps   func(step, instance string)
 
 	commit sync.Mutex // held while an entry is checked, written and applied
 	record *record.Log
 	// dirty tells that the book holds what the record lacks, because it could not be
 	// written: no command is taken until a rewrite succeeds.
 	dirty     error
-	complaint string // what the log last said of the record, so that it says it once
-	compacted int64  // the record's size after the latest rewrite
-	lost      bool   // the record was damaged: what is desired may be lost
+	complaint string      // what the log last said of the record, so that it says it once
+	compacted int64       // the record's size after the latest rewrite
+	copy      *record.Log // beside the record: what is desired
 
 	mu     sync.RWMutex // over what follows; never held during I/O
 	book   *book.Book
+	memory memory
 	leases map[string]time.Time // ends of the open commands' leases
 	ended  chan struct{}        // closed and replaced when an operation ends
 
@@ -72,10 +88,14 @@
 
 // New opens the record and makes an agent. Nothing is started or adopted before Run.
 func New(cfg Config, opt Options) (*Agent, error) {
+	if cfg.Copy == "" {
+		cfg.Copy = cfg.State + ".copy"
+	}
 	a := &Agent{
 		cfg: cfg, log: opt.Log, runner: opt.Runner, started: time.Now(), version: opt.Version,
 		leases: map[string]time.Time{}, ended: make(chan struct{}),
-		units: map[string]*unit{},
+		units: map[string]*unit{}, steps: opt.Steps,
+		memory: memory{words: map[string][]recovery.Word{}, held: map[string]*held{}, due: map[string]time.Time{}, excess: map[string]bool{}, report: make(chan struct{}, 1)},
 	}
 	if a.log == nil {
 		a.log = slog.New(slog.DiscardHandler)
@@ -98,10 +118,17 @@
 	}
 	slices.Sort(a.order)
 	a.book = book.New(a.order)
-	if err := a.open(opt.FS); err != nil {
+	if err := a.open(opt.FS, opt.First); err != nil {
 		a.guard.Close()
 		return nil, err
 	}
+	if cfg.Council != nil {
+		var err error
+		if a.council, err = newCouncillor(a, opt); err != nil {
+			a.close()
+			return nil, err
+		}
+	}
 	return a, nil
 }
 
@@ -120,7 +147,7 @@
 }
 
 // open reads the record and settles what a former agent left.
-func (a *Agent) open(fsys record.FS) error {
+func (a *Agent) open(fsys record.FS, first bool) error {
 	log, found, err := record.Open(fsys, filepath.Join(a.cfg.State, "record"), a.cfg.Name, func(text json.RawMessage) error {
 		var e book.Entry
 		if err := json.Unmarshal(text, &e); err != nil {
@@ -137,22 +164,15 @@
 	if err != nil {
 		return fmt.Errorf("agent: %w", err)
 	}
-	switch {
-	case found.Aside != "":
-		a.log.Error("the record was damaged: it is kept aside, and commands from before now are forgotten", "aside", found.Aside, "why", found.Why)
-		a.book.Forgotten(time.Now())
-		a.lost = true
-		a.dirty = errors.New("not written since the record was damaged")
-		a.mend()
-	case found.New && len(running) > 0:
-		a.log.Error("there is no record, and instances run: there was one once, and commands from before now are forgotten")
-		a.book.Forgotten(time.Now())
-		a.lost = true
-		a.mend()
-	case found.Torn > 0:
+	if found.Aside != "" {
+		a.log.Error("the record was damaged: it is kept aside", "aside", found.Aside, "why", found.Why)
+	}
+	if found.Torn > 0 {
 		a.log.Warn("the record's last line was torn and is dropped", "bytes", found.Torn)
 	}
-	a.compacted = a.record.Size()
+	if err := a.remember(fsys, found, running, first); err != nil {
+		return err
+	}
 	a.strays = slices.DeleteFunc(running, func(name string) bool { return a.units[name] != nil })
 	if len(a.strays) > 0 {
 		a.log.Error("instances run that are not in the agent's file: nobody looks after them", "instances", a.strays)
@@ -193,11 +213,15 @@
 	for _, name := range a.order {
 		a.units[name].adopt()
 	}
-	a.leaveDown()
+	a.settle()
 	for _, name := range a.order {
 		work.Go(func() { a.units[name].run(ctx) })
 	}
 	work.Go(func() { a.expire(ctx) })
+	work.Go(func() { a.recover(ctx) })
+	if a.council != nil {
+		work.Go(func() { a.council.run(ctx) })
+	}
 	a.log.Info("ready", "agent", a.cfg.Name, "instances", len(a.order))
 	for _, s := range servers {
 		work.Go(func() {
@@ -218,29 +242,10 @@
 	a.commit.Lock()
 	defer a.commit.Unlock()
 	a.record.Close() // what was confirmed is on the disk already
+	a.copy.Close()
 	a.guard.Close()
 }
 
-// leaveDown leaves instances down that were found so, if the record was damaged.
-func (a *Agent) leaveDown() {
-	if !a.lost {
-		return
-	}
-	var down []string
-	for _, name := range a.order {
-		if a.units[name].look().state == protocol.StateDown {
-			down = append(down, name)
-		}
-	}
-	e := book.Entry{At: time.Now(), Found: &book.Found{Down: down}}
-	if _, err := a.write(e); err != nil {
-		a.apply(e)
-	}
-	if len(down) > 0 {
-		a.log.Warn("instances were found down and stay so: start them by a command", "instances", down)
-	}
-}
-
 // expire frees the leases of tools that have died, and mends the record.
 func (a *Agent) expire(ctx context.Context) {
 	every := time.NewTicker(expireEvery)
@@ -281,7 +286,12 @@
 	a.mu.RLock()
 	s := a.book.Snapshot()
 	a.mu.RUnlock()
-	if err := a.record.Rewrite(book.Entry{At: time.Now(), Snapshot: s}); err != nil {
+	err := a.record.Rewrite(book.Entry{At: time.Now(), Snapshot: s})
+	if err == nil {
+		err = a.keep()
+	}
+	if err != nil {
+		a.dirty = err
 		a.complain(err)
 		return
 	}
@@ -329,6 +339,18 @@
 		return false, protocol.Errorf(protocol.CodeRecord, "nothing is begun, as it can't be written down: %v", err)
 	}
 	a.apply(e)
+	if desires(e) {
+		if err := a.keep(); err != nil {
+			// The record has it; until the copy has it too no step is taken.
+			a.dirty = err
+			a.complain(err)
+			return false, protocol.Errorf(protocol.CodeRecord, "nothing is begun, as its copy can't be written: %v", err)
+		}
+		select {
+		case a.memory.report <- struct{}{}:
+		default: // it is to be told already
+		}
+	}
 	return false, nil
 }
 
@@ -342,6 +364,8 @@
 		a.leases[e.Open.Request.ID] = time.Now().Add(protocol.LeaseFor)
 	case e.Close != nil:
 		delete(a.leases, e.Close.ID)
+	case e.Begin != nil:
+		delete(a.memory.held, e.Begin.Instance) // an operator has decided
 	case e.End != nil:
 		close(a.ended)
 		a.ended = make(chan struct{})
@@ -376,13 +400,6 @@
 	return a.book.Operation(i.Operation, name)
 }
 
-func (a *Agent) desired(name string) bool {
-	a.mu.RLock()
-	defer a.mu.RUnlock()
-	i, _ := a.book.Instance(name)
-	return i.Up
-}
-
 func (a *Agent) runAt(op *protocol.Operation) string {
 	a.mu.RLock()
 	defer a.mu.RUnlock()
@@ -408,11 +425,14 @@
 	i := protocol.Instance{
 		Name: u.def.Name, Group: u.def.Group, Labels: u.def.Labels, Listen: u.def.Listen, Desired: "down",
 		State: v.state, Pid: v.pid, Since: v.since, Generation: kept.Generation, Crashes: v.crashes, Message: v.message,
-		Holder: a.book.Holder(u.def.Name), Operation: kept.Operation,
+		Holder: a.book.Holder(u.def.Name), Operation: kept.Operation, Order: v.order,
 	}
 	if kept.Up {
 		i.Desired = "up"
 	}
+	if h := a.memory.held[u.def.Name]; h != nil && v.token == "" {
+		i.State, i.Desired, i.Message = protocol.StateHeld, "unknown", h.verdict.Why
+	}
 	return i
 }
 
@@ -426,29 +446,69 @@
 	return list
 }
 
-func (a *Agent) openCommand(r protocol.CommandRequest, operator string) (*protocol.Command, error) {
+// raise raises a duty's token, and tells what is here behind it. What was begun under a lower
+// one shows as under way until it has ended.
+func (a *Agent) raise(f protocol.Fence, by string) (*protocol.Raised, error) {
+	if _, err := a.write(book.Entry{Fence: &book.Fence{Fence: f, By: by}}); err != nil {
+		return nil, err
+	}
+	return &protocol.Raised{Instances: a.instances()}, nil
+}
+
+func (a *Agent) openCommand(r protocol.CommandRequest, who caller) (*protocol.Command, error) {
+	operator := who.name
+	switch {
+	case r.Fence == nil && r.OnBehalf != "":
+		return nil, protocol.Errorf(protocol.CodeUsage, "on_behalf: only a duty's owner orders for somebody else")
+	case r.Fence != nil && !protocol.Operator.MatchString(r.OnBehalf):
+		return nil, protocol.Errorf(protocol.CodeUsage, "on_behalf: %q is no operator's name", r.OnBehalf)
+	case r.Fence != nil:
+		operator, who.fence = r.OnBehalf, r.Fence
+	}
 	for _, s := range r.Instances {
 		if a.units[s.Name] == nil {
 			return nil, &protocol.Error{Code: protocol.CodeNotFound, Instance: s.Name, Text: fmt.Sprintf("no instance %q is known here", s.Name)}
 		}
 	}
+	if r.Fence != nil {
+		if err := a.undecided(r.Instances); err != nil {
+			return nil, err
+		}
+	}
 	if _, err := a.write(book.Entry{Open: &book.Open{Request: r, Operator: operator}}); err != nil {
 		return nil, err
 	}
-	return a.renew(r.ID, operator)
+	return a.renew(r.ID, who)
+}
+
+// undecided refuses a duty's orders to instances of which it is not known yet what is desired.
+func (a *Agent) undecided(all []protocol.Seen) error {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	for _, s := range all {
+		if a.memory.held[s.Name] != nil {
+			return &protocol.Error{Code: protocol.CodeForgetful, Instance: s.Name, Text: fmt.Sprintf("%s is held until it is known what is desired of it", s.Name)}
+		}
+	}
+	return nil
 }
 
 func notFound(id string) error {
 	return protocol.Errorf(protocol.CodeNotFound, "no command %s is known here", id)
 }
 
-// mine gives a command if the operator may work on it.
-func (a *Agent) mine(id, operator string) (*protocol.Command, error) {
+// mine gives a command if the caller may work on it: its operator, or the owner of its duty.
+func (a *Agent) mine(id string, who caller) (*protocol.Command, error) {
 	c, err := a.command(id)
 	if err != nil {
 		return nil, err
 	}
-	if c.Operator != operator {
+	if c.Fence != nil && who.fence != nil {
+		a.mu.RLock()
+		defer a.mu.RUnlock()
+		return c, a.book.CheckOwner(id, who.fence)
+	}
+	if operator := who.name; c.Operator != operator {
 		return nil, &protocol.Error{
 			Code: protocol.CodeConflict, Text: fmt.Sprintf("command %s is %s's, not %s's", id, c.Operator, operator),
 			Holder: &protocol.Holder{Command: c.ID, Kind: c.Kind, Operator: c.Operator, Since: c.Opened},
@@ -458,8 +518,8 @@
 }
 
 // renew makes a command's lease last another protocol.LeaseFor.
-func (a *Agent) renew(id, operator string) (*protocol.Command, error) {
-	c, err := a.mine(id, operator)
+func (a *Agent) renew(id string, who caller) (*protocol.Command, error) {
+	c, err := a.mine(id, who)
 	if err != nil {
 		return nil, err
 	}
@@ -473,32 +533,29 @@
 	return c, nil
 }
 
-func (a *Agent) closeCommand(id, operator, reason string) (*protocol.Command, error) {
-	if _, err := a.mine(id, operator); err != nil {
+func (a *Agent) closeCommand(id string, who caller, reason string) (*protocol.Command, error) {
+	if _, err := a.mine(id, who); err != nil {
 		return nil, err
 	}
-	if _, err := a.write(book.Entry{Close: &book.Close{ID: id, State: protocol.Closed, Reason: reason}}); err != nil {
+	if _, err := a.write(book.Entry{Close: &book.Close{ID: id, State: protocol.Closed, Reason: reason, Fence: who.fence}}); err != nil {
 		return nil, err
 	}
-	return a.mine(id, operator)
+	return a.command(id)
 }
 
 // runOperation begins an operation, or finds the one that was begun.
-func (a *Agent) runOperation(id, instance, operator string) (*protocol.Operation, error) {
-	if _, err := a.renew(id, operator); err != nil {
+func (a *Agent) runOperation(id, instance string, who caller) (*protocol.Operation, error) {
+	if _, err := a.renew(id, who); err != nil {
 		return nil, err
 	}
 	u := a.units[instance]
 	if u == nil {
 		return nil, &protocol.Error{Code: protocol.CodeNotFound, Instance: instance, Text: fmt.Sprintf("no instance %q is known here", instance)}
 	}
-	if _, err := a.write(book.Entry{Begin: &book.Begin{ID: id, Instance: instance, Run: u.look().token}}); err != nil {
+	if _, err := a.write(book.Entry{Begin: &book.Begin{ID: id, Instance: instance, Run: u.look().token, Fence: who.fence}}); err != nil {
 		return nil, err
 	}
-	select {
-	case u.wanted <- struct{}{}:
-	default: // it will look
-	}
+	u.wake()
 	return a.operation(id, instance)
 }
 
@@ -541,6 +598,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.Fence != nil {
+		return nil, protocol.Errorf(protocol.CodeConflict, "command %s belongs to a job of the fleet: otterctl jobs pauses and cancels it", id)
+	}
 	reason := "aborted by " + operator
 	for _, o := range c.Operations {
 		if o.State == protocol.Interrupted {
--- /dev/null
+++ b/internal/fleet/agent/council_test.go
@@ -0,0 +1,230 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"otterstep/internal/fleet/client"
+	"otterstep/internal/fleet/duty"
+	"otterstep/internal/fleet/pki"
+	"otterstep/internal/fleet/protocol"
+	"otterstep/internal/standin/instances"
+)
+
+// door is an address that is known before its agent listens, and passes on to it.
+type door struct {
+	net.Listener
+	mu sync.Mutex
+	to string
+}
+
+func openDoor(t *testing.T) *door {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &door{Listener: l}
+	var work sync.WaitGroup
+	t.Cleanup(func() { l.Close(); work.Wait() })
+	work.Go(func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			d.mu.Lock()
+			to := d.to
+			d.mu.Unlock()
+			work.Go(func() {
+				defer in.Close()
+				out, err := net.Dial("tcp", to)
+				if err != nil {
+					return
+				}
+				defer out.Close()
+				work.Go(func() { io.Copy(out, in); out.Close(); in.Close() })
+				io.Copy(in, out)
+			})
+		}
+	})
+	return d
+}
+
+// Handle implements slog.Handler: it hears where the agent listens.
+func (d *door) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "listens" {
+		r.Attrs(func(a slog.Attr) bool {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.to = a.Value.String()
+			return false
+		})
+	}
+	return nil
+}
+
+func (d *door) Enabled(context.Context, slog.Level) bool { return true }
+func (d *door) WithAttrs([]slog.Attr) slog.Handler       { return d }
+func (d *door) WithGroup(string) slog.Handler            { return d }
+
+// Three agents agree over mutual TLS, by the certificates that they have; and everybody may
+// do what their role allows and nothing else.
+func TestCouncilOverTLS(t *testing.T) {
+	now := time.Now()
+	dir := authority(t, now)
+	names := []string{"m1", "m2", "m3"}
+	for _, name := range names[1:] {
+		if err := pki.Issue(dir, pki.Request{Name: name, Role: pki.Agent, Hosts: []string{"127.0.0.1"}, For: time.Hour}, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	doors := map[string]*door{}
+	table := &Council{Cluster: "fleet", Voters: names}
+	table.Lease.Duration = 2 * time.Second
+	for _, name := range names {
+		doors[name] = openDoor(t)
+		table.Agent = append(table.Agent, struct {
+			Name    string `toml:"name"`
+			Address string `toml:"address"`
+		}{name, "https://" + doors[name].Addr().String()})
+	}
+	for _, name := range names {
+		cfg := newWorld(t).cfg
+		cfg.Name, cfg.Listen, cfg.Council = name, "127.0.0.1:0", table
+		cfg.TLS.CA, cfg.TLS.Cert, cfg.TLS.Key = filepath.Join(dir, "ca.pem"), filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key")
+		a, err := New(cfg, Options{Runner: instances.NewMachine().Runner(), First: true, Log: slog.New(doors[name])})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- a.Run(ctx) }()
+		t.Cleanup(func() {
+			cancel()
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	at := func(agent, who string) *client.Client { return as(t, doors[agent].Addr().String(), dir, dir, who) }
+	ada, vera := at("m1", "ada"), at("m1", "vera")
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	for {
+		s, err := ada.CouncilStatus(ctx)
+		if err == nil && len(s.Members) == 3 && !slices.ContainsFunc(s.Members, func(m duty.Member) bool { return !m.Votes }) {
+			break
+		}
+		if ctx.Err() != nil {
+			t.Fatalf("no council: %+v, %v", s, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	code := func(err error) string {
+		var e *protocol.Error
+		if !errors.As(err, &e) {
+			return ""
+		}
+		return e.Code
+	}
+	job := func() duty.Command {
+		return duty.Command{Form: duty.Form, Submit: &duty.Job{
+			ID: protocol.NewID(now, 1), Kind: protocol.Restart, MaxUnavailable: 1, Operator: "somebody else",
+			Targets: []duty.Target{{Agent: "m1", Instance: "a"}},
+		}}
+	}
+	fence := protocol.Fence{Duty: "x", Token: 1}
+	peer := at("m1", "m2")
+	_, viewerSubmits := vera.CouncilDo(ctx, job(), false)
+	_, operatorRaises := ada.Raise(ctx, fence)
+	_, operatorAcquires := ada.CouncilDo(ctx, duty.Command{Form: duty.Form, Acquire: &duty.Acquire{Duty: "x", Owner: "ada"}}, false)
+	_, operatorFences := ada.Instances(client.WithFence(ctx, fence))
+	newer := job()
+	newer.Form++
+	_, newerForm := ada.CouncilDo(ctx, newer, false)
+	_, peerOrders := peer.Open(ctx, protocol.CommandRequest{ID: protocol.NewID(now, 2), Kind: protocol.Drain, Instances: []protocol.Seen{{Name: "a"}}})
+	_, bodyOnly := peer.Open(ctx, protocol.CommandRequest{ID: protocol.NewID(now, 2), Kind: protocol.Drain, Fence: &fence, OnBehalf: "ada", Instances: []protocol.Seen{{Name: "a"}}})
+	_, noOperator := peer.Open(client.WithFence(ctx, fence), protocol.CommandRequest{ID: protocol.NewID(now, 2), Kind: protocol.Drain, Fence: &fence, Instances: []protocol.Seen{{Name: "a"}}})
+	status, err := peer.CouncilStatus(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hello := duty.Hello{Cluster: "fleet", From: "m2/x", To: status.Server}
+	stream := func(c *client.Client, change func(*duty.Hello)) error {
+		h := hello
+		change(&h)
+		conn, err := c.CouncilStream(ctx, h)
+		if err == nil {
+			conn.Close()
+		}
+		return err
+	}
+	for name, c := range map[string]struct {
+		err  error
+		code string
+	}{
+		"a viewer submits a job":                 {viewerSubmits, protocol.CodeForbidden},
+		"an operator raises a token":             {operatorRaises, protocol.CodeForbidden},
+		"an operator takes a duty":               {operatorAcquires, protocol.CodeForbidden},
+		"an operator looks with a fence":         {operatorFences, ""},
+		"an agent orders without a duty":         {peerOrders, protocol.CodeForbidden},
+		"an agent's fence in the body alone":     {bodyOnly, protocol.CodeForbidden},
+		"an agent's order for nobody":            {noOperator, protocol.CodeUsage},
+		"a command of a newer form":              {newerForm, protocol.CodeVersion},
+		"a stream in another's name":             {stream(peer, func(h *duty.Hello) { h.From = "m3/x" }), protocol.CodeForbidden},
+		"a stream of an operator":                {stream(ada, func(*duty.Hello) {}), protocol.CodeForbidden},
+		"a stream of another fleet":              {stream(peer, func(h *duty.Hello) { h.Cluster = "other" }), protocol.CodeForbidden},
+		"a stream of another council":            {stream(peer, func(h *duty.Hello) { h.Founding = "other" }), protocol.CodeForbidden},
+		"a stream to a folder that is not there": {stream(peer, func(h *duty.Hello) { h.To = "m1/gone" }), protocol.CodeForbidden},
+		"a stream":                               {stream(peer, func(*duty.Hello) {}), ""},
+	} {
+		if code(c.err) != c.code || c.code == "" && c.err != nil {
+			t.Errorf("%s: %v, want %q", name, c.err, c.code)
+		}
+	}
+	// An operator's job is signed with the name in the certificate, wherever it is handed in.
+	a, err := at("m2", "ada").CouncilDo(ctx, job(), false)
+	if err != nil || a.Job == nil || a.Job.Operator != "ada" {
+		t.Errorf("%+v, %v", a, err)
+	}
+}
+
+// All that is wrong with the table is told at once, each with its line.
+func TestCouncilsTableIsChecked(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "agent.toml")
+	for name, c := range map[string]struct {
+		table string
+		want  []string
+	}{
+		"two voters":  {"cluster = \"a\"\nvoters = [\"m1\", \"m2\"]\n", []string{":6: council.voters: 2 voters: 3 or 5 are needed"}},
+		"four voters": {"cluster = \"a\"\nvoters = [\"m1\", \"m2\", \"m3\", \"m4\"]\n", []string{"4 voters"}},
+		"a stranger":  {"cluster = \"a\"\nvoters = [\"m1\", \"m2\", \"m9\"]\n", []string{`:6: council.voters: "m9" is not among council.agent`}},
+		"all else": {"cluster = \"a b\"\nvoters = [\"m1\", \"m1\", \"m3\"]\nlease = \"10ms\"\nlese = 1\n", []string{
+			":5: council.cluster:", `"m1" is named twice`, ":7: council.lease: 10ms", ":8: council.lese: unknown key, did you mean council.lease?",
+		}},
+	} {
+		text := "name = \"m0\"\nstate = \"s\"\nsocket = \"s.sock\"\n[council]\n" + c.table +
+			"[[council.agent]]\nname = \"m1\"\naddress = \"unix:m1.sock\"\n[[council.agent]]\nname = \"m1\"\naddress = \"ftp://x\"\n[[council.agent]]\nname = \"m2\"\naddress = \"https://127.0.0.1:1\"\n"
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadConfig(path)
+		for _, want := range append(c.want, `council.agent: "m0", which is this agent, is not among them`, `council.agent[2].name: "m1" is given twice`, "council.agent[2].address:", "council.agent[3].address: https://127.0.0.1:1 needs tls.ca") {
+			if err == nil || !strings.Contains(err.Error(), want) {
+				t.Errorf("%s: lacks %q in\n%v", name, want, err)
+			}
+		}
+	}
+}
--- a/internal/fleet/agent/server.go
+++ b/internal/fleet/agent/server.go
@@ -52,10 +52,31 @@
 	return maps.Clone(r.counts)
 }
 
+// localRole is that of this machine's user, who may do what any role may.
+const localRole = "local"
+
 // caller is who asks.
 type caller struct {
 	name string
-	role string // pki.Viewer, pki.Operator or "" for nobody
+	role string // of package pki, localRole, or "" for nobody
+	// fence is the duty for which it orders, if it owns one.
+	fence *protocol.Fence
+}
+
+// may tells whether the caller's role allows what a call takes. An agent may look, and order
+// only as the owner of a duty; an operator never does so.
+func (c caller) may(takes string) bool {
+	switch {
+	case c.role == localRole:
+		return true
+	case c.role == "":
+		return false
+	case takes == pki.Operator && c.role == pki.Agent:
+		return c.fence != nil
+	case takes == pki.Operator && c.fence != nil:
+		return false
+	}
+	return takes == pki.Viewer || takes == c.role
 }
 
 // server is one of the agent's listeners.
@@ -118,7 +139,22 @@
 	handle := func(pattern, role string, f func(r *http.Request, c caller) (any, error)) {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 			c := whoAsks(r)
-			if c.role == "" || role == pki.Operator && c.role != pki.Operator {
+			if c.role == pki.Agent && a.cfg.Council == nil {
+				c.role = ""
+			}
+			if text := r.Header.Get(protocol.FenceHeader); text != "" {
+				var err error
+				if c.fence, err = a.readFence(text); err != nil {
+					reply(w, nil, err)
+					return
+				}
+				if r.Method != http.MethodGet && a.forgetful() {
+					// Its token may be the highest known here and still be an old one.
+					reply(w, nil, protocol.Errorf(protocol.CodeForgetful, "%s may have lost its memory and takes no order before the council has told it which tokens there were", a.cfg.Name))
+					return
+				}
+			}
+			if !c.may(role) {
 				a.refused.add("role")
 				reply(w, nil, protocol.Errorf(protocol.CodeForbidden, "%q has the role %q, this takes %q", c.name, c.role, role))
 				return
@@ -135,6 +171,37 @@
 	})
 	handle("GET /v1/instances", pki.Viewer, func(*http.Request, caller) (any, error) { return a.instances(), nil })
 	handle("GET /v1/instances/{name}/inspect", pki.Viewer, func(r *http.Request, _ caller) (any, error) { return a.inspect(r) })
+	handle("POST /v1/instances/{name}/kept", pki.Operator, func(r *http.Request, c caller) (any, error) {
+		var k control.Keep
+		if err := read(r, &k); err != nil {
+			return nil, err
+		}
+		if err := k.Check(); err != nil {
+			return nil, protocol.Errorf(protocol.CodeUsage, "%v", err)
+		}
+		u, err := a.controlled(r)
+		if err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), lookWait)
+		defer cancel()
+		if err := a.runner.Keep(ctx, u.def, k); err != nil {
+			return nil, protocol.Errorf(protocol.CodeFailed, "%s: %v", u.def.Name, err)
+		}
+		a.log.Info("told an instance what becomes of what it keeps", "instance", u.def.Name, "do", k.Do, "operator", c.name)
+		return a.inspect(r)
+	})
+	handle("GET /v1/recovery", pki.Viewer, func(*http.Request, caller) (any, error) { return a.recoveryState(), nil })
+	handle("POST /v1/recovery/{instance}", pki.Operator, func(r *http.Request, c caller) (any, error) {
+		var q protocol.Decision
+		if err := read(r, &q); err != nil {
+			return nil, err
+		}
+		if err := a.decide(r.PathValue("instance"), q.Up, c.name); err != nil {
+			return nil, err
+		}
+		return a.recoveryState(), nil
+	})
 	handle("GET /v1/commands", pki.Viewer, func(*http.Request, caller) (any, error) { return a.commands(commandsShown), nil })
 	handle("GET /v1/commands/{id}", pki.Viewer, func(r *http.Request, _ caller) (any, error) { return a.command(r.PathValue("id")) })
 	handle("POST /v1/commands", pki.Operator, func(r *http.Request, c caller) (any, error) {
@@ -142,23 +209,27 @@
 		if err := read(r, &q); err != nil {
 			return nil, err
 		}
-		return a.openCommand(q, c.name)
+		// The body's fence makes agents from before there were any refuse the command.
+		if (q.Fence == nil) != (c.fence == nil) || q.Fence != nil && *q.Fence != *c.fence {
+			return nil, protocol.Errorf(protocol.CodeUsage, "fence: %v in the body, %v in %s", q.Fence, c.fence, protocol.FenceHeader)
+		}
+		return a.openCommand(q, c)
 	})
 	handle("POST /v1/commands/{id}/renew", pki.Operator, func(r *http.Request, c caller) (any, error) {
-		return a.renew(r.PathValue("id"), c.name)
+		return a.renew(r.PathValue("id"), c)
 	})
 	handle("POST /v1/commands/{id}/close", pki.Operator, func(r *http.Request, c caller) (any, error) {
 		var q protocol.CloseRequest
 		if err := read(r, &q); err != nil {
 			return nil, err
 		}
-		return a.closeCommand(r.PathValue("id"), c.name, q.Reason)
+		return a.closeCommand(r.PathValue("id"), c, q.Reason)
 	})
 	handle("POST /v1/commands/{id}/abort", pki.Operator, func(r *http.Request, c caller) (any, error) {
 		return a.abort(r.PathValue("id"), c.name)
 	})
 	handle("POST /v1/commands/{id}/run/{instance}", pki.Operator, func(r *http.Request, c caller) (any, error) {
-		return a.runOperation(r.PathValue("id"), r.PathValue("instance"), c.name)
+		return a.runOperation(r.PathValue("id"), r.PathValue("instance"), c)
 	})
 	handle("GET /v1/commands/{id}/run/{instance}", pki.Viewer, func(r *http.Request, _ caller) (any, error) {
 		wait := time.Duration(0)
@@ -171,6 +242,15 @@
 		}
 		return a.waitOperation(r.Context(), r.PathValue("id"), r.PathValue("instance"), wait)
 	})
+	if a.council != nil {
+		a.councilCalls(mux, handle, whoAsks)
+	} else {
+		off := func(w http.ResponseWriter, _ *http.Request) {
+			reply(w, nil, protocol.Errorf(protocol.CodeOff, "this agent's file has no [council]"))
+		}
+		mux.HandleFunc("/v1/council", off)
+		mux.HandleFunc("/v1/council/", off)
+	}
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		reply(w, nil, protocol.Errorf(protocol.CodeNotFound, "%s %s: no such call", r.Method, r.URL.Path))
 	})
@@ -184,6 +264,14 @@
 	})
 }
 
+// readFence takes a fence if this agent is one of a fleet with a council.
+func (a *Agent) readFence(text string) (*protocol.Fence, error) {
+	if a.cfg.Council == nil {
+		return nil, protocol.Errorf(protocol.CodeUsage, "%s: this agent's file has no [council]: it knows of no duties", protocol.FenceHeader)
+	}
+	return protocol.ReadFence(text)
+}
+
 // asks gives the protocol's version that a request is in; "?" if its path and its
 // header differ or tell none.
 func asks(r *http.Request) string {
@@ -196,20 +284,27 @@
 }
 
 // localCaller goes by the user that peers has let in.
-func localCaller(r *http.Request) caller { return caller{r.RemoteAddr, pki.Operator} }
+func localCaller(r *http.Request) caller { return caller{name: r.RemoteAddr, role: localRole} }
 
 // remoteCaller goes by the certificate. Without one there is no role: that the
 // connection is TLS is not taken for granted here.
 func remoteCaller(r *http.Request) caller {
 	if r.TLS == nil {
-		return caller{r.RemoteAddr, ""}
+		return caller{name: r.RemoteAddr}
 	}
 	name, role := pki.Who(r.TLS)
-	return caller{name, role}
+	return caller{name: name, role: role}
 }
 
 // read takes a request's body, which must be one JSON value of known fields.
-func read(r *http.Request, into any) error {
+func read(r *http.Request, into any) error { return readBody(r, into, true) }
+
+// readLoose is read for what agents of two versions say to each other during an upgrade: what a
+// newer one adds to a command that this one knows is passed over. What it must not pass over
+// has another form (duty.Form).
+func readLoose(r *http.Request, into any) error { return readBody(r, into, false) }
+
+func readBody(r *http.Request, into any, strict bool) error {
 	text, err := io.ReadAll(io.LimitReader(r.Body, protocol.BodyMost+1))
 	if err != nil {
 		return protocol.Errorf(protocol.CodeUsage, "body: %v", err)
@@ -218,7 +313,9 @@
 		return protocol.Errorf(protocol.CodeUsage, "body: over %d bytes", protocol.BodyMost)
 	}
 	d := json.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
+	if strict {
+		d.DisallowUnknownFields()
+	}
 	if err := d.Decode(into); err != nil {
 		return protocol.Errorf(protocol.CodeUsage, "body: %v", err)
 	}
@@ -247,8 +344,8 @@
 	_, _ = w.Write(append(text, '\n'))
 }
 
-// inspect asks the instance's control socket.
-func (a *Agent) inspect(r *http.Request) (any, error) {
+// controlled gives the instance that a call is about, if it has a control socket.
+func (a *Agent) controlled(r *http.Request) (*unit, error) {
 	u := a.units[r.PathValue("name")]
 	if u == nil {
 		return nil, protocol.Errorf(protocol.CodeNotFound, "no instance %q is known here", r.PathValue("name"))
@@ -256,6 +353,15 @@
 	if u.def.Control == "" {
 		return nil, protocol.Errorf(protocol.CodeFailed, "the agent's file names no control socket for %s", u.def.Name)
 	}
+	return u, nil
+}
+
+// inspect asks the instance's control socket.
+func (a *Agent) inspect(r *http.Request) (any, error) {
+	u, err := a.controlled(r)
+	if err != nil {
+		return nil, err
+	}
 	i, err := u.inspect(r.Context())
 	if err != nil {
 		return nil, err
--- a/internal/fleet/agent/unit.go
+++ b/internal/fleet/agent/unit.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -40,6 +41,7 @@
 	// The goroutine's own.
 	process instance.Process // nil: none runs
 	token   string           // of the process that runs, or ran last
+	by      string           // the order that a process was started for last, "" if none was
 	tracker backoff.Tracker
 	retry   *time.Timer // next start after a crash
 	check   *time.Timer // next look at /up
@@ -52,6 +54,7 @@
 	state   string
 	since   time.Time
 	pid     int
+	order   string // see protocol.Instance
 	crashes int
 	message string
 	token   string
@@ -93,7 +96,7 @@
 func (u *unit) has(p instance.Process, token string, pid int) {
 	u.process, u.token = p, token
 	u.mu.Lock()
-	u.view.pid = pid
+	u.view.pid, u.view.order = pid, orderOf(token)
 	u.mu.Unlock()
 }
 
@@ -118,9 +121,16 @@
 		var done <-chan struct{}
 		if u.process != nil {
 			done = u.process.Done()
-		} else if u.agent.desired(u.def.Name) && u.look().state == protocol.StateDown {
-			u.launch()
-			continue
+			if u.agent.tooMuch(u.def.Name) {
+				u.endExcess()
+			}
+		} else if wait, may := u.agent.turn(u.def.Name); may && u.look().state == protocol.StateDown {
+			if wait <= 0 {
+				u.launch()
+				continue
+			}
+			u.show(protocol.StatePaced, fmt.Sprintf("started in %v, as others may come back too", wait.Round(time.Millisecond)))
+			u.retry.Reset(wait)
 		}
 		select {
 		case <-ctx.Done():
@@ -129,9 +139,15 @@
 		case <-done:
 			state := u.process.State()
 			u.gone()
+			if _, may := u.agent.turn(u.def.Name); !may {
+				u.show(protocol.StateDown, "ended: "+state)
+				continue
+			}
 			u.crashed(fmt.Sprintf("ended unasked: %s", state))
 		case <-u.retry.C:
-			if u.agent.desired(u.def.Name) {
+			if wait, may := u.agent.turn(u.def.Name); may && wait > 0 {
+				u.retry.Reset(wait)
+			} else if may {
 				u.launch()
 			} else {
 				u.show(protocol.StateDown, "")
@@ -148,6 +164,36 @@
 	}
 }
 
+// wake has the unit look again at what there is to do.
+func (u *unit) wake() {
+	select {
+	case u.wanted <- struct{}{}:
+	default: // it will look
+	}
+}
+
+// endExcess ends a process that runs although the newest word, learnt again, says down: a
+// drain that was under way when the memory was lost, or one that the agent had never heard of.
+func (u *unit) endExcess() {
+	u.log.Warn("drains an instance that runs and is meant to be down", "pid", u.look().pid)
+	u.show(protocol.StateStopping, "the newest word says down")
+	if err := u.process.Signal(syscall.SIGTERM); err != nil {
+		u.show(protocol.StateRunning, fmt.Sprintf("is meant to be down, and can't be signalled: %v", err))
+	}
+}
+
+// orderEnd ends an order's id in a token.
+const orderEnd = "."
+
+// orderOf gives the order that a token names, "" if it names none.
+func orderOf(token string) string {
+	order, _, named := strings.Cut(token, orderEnd)
+	if !named {
+		return ""
+	}
+	return order
+}
+
 // adopt finds the process that runs.
 func (u *unit) adopt() {
 	p, token, pid, err := u.agent.runner.Adopt(u.def)
@@ -155,8 +201,11 @@
 	case err != nil:
 		u.log.Error("a process that can't be told holds the instance's run file", "err", err)
 		u.show(protocol.StateUnknown, err.Error())
-	case p != nil:
+	case p == nil:
+		u.by = orderOf(token)
+	default:
 		u.has(p, token, pid)
+		u.by = orderOf(token)
 		u.tracker.Started(time.Now())
 		u.log.Info("adopted", "pid", pid)
 		u.show(protocol.StateRunning, "adopted")
@@ -194,7 +243,7 @@
 
 // launch starts the process outside any operation.
 func (u *unit) launch() {
-	if err := u.start(); err != nil {
+	if err := u.start(u.by); err != nil {
 		u.crashed(err.Error())
 		return
 	}
@@ -202,10 +251,15 @@
 	u.check.Reset(upEvery)
 }
 
-// start starts a process under a new token.
-func (u *unit) start() error {
+// start starts a process under a new token, which names the order that it is started for, or the
+// latest that one was: the run file then tells of it also where the record was put back to before
+// the order. by is "" if there was none.
+func (u *unit) start(by string) error {
 	u.retry.Stop()
 	token := rand.Text()
+	if u.by = by; by != "" {
+		token = by + orderEnd + token
+	}
 	p, pid, err := u.agent.runner.Start(u.def, token)
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
@@ -266,7 +320,7 @@
 		case protocol.Restart:
 			// The process that ran when the operation began has to go; another one is
 			// already the new one.
-			if u.process != nil && u.token == u.agent.runAt(op) {
+			if u.process != nil && u.token == u.agent.runAt(op) && u.by != op.Command {
 				warning, err = u.stop(ctx, op)
 			}
 			if err == nil {
@@ -285,14 +339,14 @@
 	case err == nil:
 	case ctx.Err() != nil || errors.Is(err, errLeft):
 		return
-	case errors.As(err, &refused) && refused.Code == protocol.CodeRecord:
+	case errors.As(err, &refused) && (refused.Code == protocol.CodeRecord || refused.Code == protocol.CodeFenced):
 		state, reason = protocol.Interrupted, err.Error()
 	default:
 		state, reason = protocol.Failed, err.Error()
 	}
 	u.log.Info("operation ended", "kind", op.Kind, "command", op.Command, "state", state, "reason", reason)
 	u.agent.end(op, state, reason)
-	if u.process == nil && u.agent.desired(u.def.Name) && u.look().state != protocol.StateUnknown {
+	if _, may := u.agent.turn(u.def.Name); u.process == nil && may && u.look().state != protocol.StateUnknown {
 		u.crashed(reason)
 	}
 }
@@ -376,7 +430,7 @@
 		if err := u.agent.step(op, "launch", ""); err != nil {
 			return err
 		}
-		if err := u.start(); err != nil {
+		if err := u.start(op.Command); err != nil {
 			return err
 		}
 	}
--- a/internal/fleet/book/book.go
+++ b/internal/fleet/book/book.go
@@ -28,6 +28,8 @@
 	wordsMost = 200
 	// planMost bounds a command's plan, in bytes; a longer one is refused.
 	planMost = 1 << 10
+	// FencesMost bounds the duties whose tokens are kept.
+	FencesMost = 64
 )
 
 // Entry is one change. Exactly one of its pointers is set.
@@ -40,6 +42,47 @@
 	Step     *Step     `json:"step,omitempty"`
 	End      *End      `json:"end,omitempty"`
 	Found    *Found    `json:"found,omitempty"`
+	Fence    *Fence    `json:"fence,omitempty"`
+	Life     *Life     `json:"life,omitempty"`
+	Hold     *Hold     `json:"hold,omitempty"`
+	Learn    *Learn    `json:"learn,omitempty"`
+}
+
+// Life is the start of an agent on a folder.
+type Life struct {
+	Folder string `json:"folder"` // its id, made with it
+	Starts uint64 `json:"starts"`
+	// Forgetful tells that the agent may have known more: until it has learnt the fleet's
+	// tokens no order of a duty is taken.
+	Forgetful bool `json:"forgetful,omitempty"`
+}
+
+// Hold notes instances of which nobody knows what is desired, and what became of the memory.
+type Hold struct {
+	Instances []string `json:"instances"`
+	Why       string   `json:"why"`
+}
+
+// Learn takes words over that others have kept, or that an operator has said. A word of a lower
+// generation than the one here changes nothing.
+type Learn struct {
+	Instances map[string]Word           `json:"instances,omitempty"`
+	Fences    map[string]protocol.Token `json:"fences,omitempty"`
+	// Whole ends the agent's forgetfulness.
+	Whole  bool   `json:"whole,omitempty"`
+	Source string `json:"source"`
+}
+
+// Word is what is desired of an instance.
+type Word struct {
+	Up         bool   `json:"up"`
+	Generation uint64 `json:"generation"`
+}
+
+// Fence raises a duty's token: orders of lower ones are refused from then on.
+type Fence struct {
+	protocol.Fence
+	By string `json:"by"` // who raised it
 }
 
 // Open opens a command and takes its lease.
@@ -53,6 +96,8 @@
 	ID     string `json:"id"`
 	State  string `json:"state"` // protocol.Closed or Expired
 	Reason string `json:"reason,omitempty"`
+	// Fence is that of the owner who ends it; nil if its tool or its lease does.
+	Fence *protocol.Fence `json:"fence,omitempty"`
 }
 
 // Begin begins an operation or takes one up again; with it the desired state changes.
@@ -62,6 +107,8 @@
 	// Run is the token of the process that ran at the time, "" for none: what tells
 	// the old process from the new one, should the agent die in between.
 	Run string `json:"run"`
+	// Fence is that of the owner who orders it; nil if an operator's tool does.
+	Fence *protocol.Fence `json:"fence,omitempty"`
 }
 
 // Step is a step that an operation is about to take.
@@ -91,6 +138,9 @@
 	Instances map[string]*Instance `json:"instances"`
 	Commands  []*Command           `json:"commands"`
 	Horizon   time.Time            `json:"horizon"`
+	// Fences are the highest tokens seen, by duty.
+	Fences map[string]protocol.Token `json:"fences,omitempty"`
+	Life   Life                      `json:"life,omitzero"`
 }
 
 // Instance is what is kept of an instance.
@@ -99,6 +149,8 @@
 	Generation uint64 `json:"generation"`
 	// Operation is the command whose operation is under way here, "" for none.
 	Operation string `json:"operation,omitempty"`
+	// Held says what became of the memory because of which nothing is known; "" if something is.
+	Held string `json:"held,omitempty"`
 }
 
 // Command is a command with its operations.
@@ -120,12 +172,14 @@
 	order     []string            // ids of commands, the oldest first
 	holders   map[string]*Command // by instance: the open command that has its lease
 	horizon   time.Time           // ids from before this are forgotten
+	fences    map[string]protocol.Token
+	life      Life
 }
 
 // New makes a book for the given instances; one that it reads of later and that is
 // not among them is kept, as its definition may come back.
 func New(names []string) *Book {
-	b := &Book{instances: map[string]*Instance{}, commands: map[string]*Command{}, holders: map[string]*Command{}}
+	b := &Book{instances: map[string]*Instance{}, commands: map[string]*Command{}, holders: map[string]*Command{}, fences: map[string]protocol.Token{}}
 	for _, name := range names {
 		b.instances[name] = &Instance{Up: true}
 	}
@@ -166,6 +220,10 @@
 func (c *Command) view() *protocol.Command {
 	v := c.Command
 	v.Instances = slices.Clone(v.Instances)
+	if v.Fence != nil {
+		f := *v.Fence
+		v.Fence = &f
+	}
 	v.Operations = slices.Clone(v.Operations)
 	for i := range v.Operations {
 		v.Operations[i].Steps = slices.Clone(v.Operations[i].Steps)
@@ -244,11 +302,23 @@
 		if c == nil {
 			return false, protocol.Errorf(protocol.CodeNotFound, "no command %s is known here", e.Close.ID)
 		}
+		if e.Close.Fence != nil || c.Fence != nil && e.Close.State == protocol.Closed {
+			if err := b.checkSame(c, e.Close.Fence); err != nil {
+				return false, err
+			}
+		}
 		return c.State != protocol.Open, nil
+	case e.Fence != nil:
+		return b.checkRaise(e.Fence)
 	case e.Step != nil:
-		if o := b.operation(e.Step.ID, e.Step.Instance); o == nil || o.State != protocol.Running {
+		o := b.operation(e.Step.ID, e.Step.Instance)
+		if o == nil || o.State != protocol.Running {
 			return false, protocol.Errorf(protocol.CodeConflict, "operation %s on %s is not under way", e.Step.ID, e.Step.Instance)
 		}
+		// Each effect stands behind a step, so that this is the check at the effect.
+		if c := b.commands[e.Step.ID]; c.Fence != nil {
+			return false, b.checkFence(protocol.Fence{Duty: c.Fence.Duty, Token: o.Token})
+		}
 	case e.End != nil:
 		o := b.operation(e.End.ID, e.End.Instance)
 		if o == nil {
@@ -259,6 +329,51 @@
 	return false, nil
 }
 
+// Fences gives the highest tokens seen, by duty.
+func (b *Book) Fences() map[string]protocol.Token { return maps.Clone(b.fences) }
+
+// checkFence refuses an order under a token below the highest one seen.
+func (b *Book) checkFence(f protocol.Fence) error {
+	if highest := b.fences[f.Duty]; f.Token < highest {
+		return protocol.Errorf(protocol.CodeFenced, "token %v of %s is over: token %v has been here", f.Token, f.Duty, highest)
+	}
+	return nil
+}
+
+// checkSame refuses an order on a fenced command that does not come from the owner who took
+// it up last.
+func (b *Book) checkSame(c *Command, f *protocol.Fence) error {
+	switch {
+	case c.Fence == nil:
+		return protocol.Errorf(protocol.CodeConflict, "command %s is %s's own and no duty's", c.ID, c.Operator)
+	case f == nil:
+		return protocol.Errorf(protocol.CodeConflict, "command %s belongs to a job of the fleet: otterctl jobs pauses, resumes and cancels it", c.ID)
+	case f.Duty != c.Fence.Duty || f.Token > c.Fence.Token:
+		return protocol.Errorf(protocol.CodeConflict, "command %s was not opened by token %v of %s", c.ID, f.Token, f.Duty)
+	}
+	return b.checkFence(*f) // the command's own token is among those seen
+}
+
+// CheckOwner tells whether a fence may still order something on a command.
+func (b *Book) CheckOwner(id string, f *protocol.Fence) error {
+	c := b.commands[id]
+	if c == nil {
+		return protocol.Errorf(protocol.CodeNotFound, "no command %s is known here", id)
+	}
+	return b.checkSame(c, f)
+}
+
+func (b *Book) checkRaise(f *Fence) (bool, error) {
+	highest, known := b.fences[f.Duty]
+	switch {
+	case !protocol.Name.MatchString(f.Duty) || f.Token == 0:
+		return false, protocol.Errorf(protocol.CodeUsage, "fence: %q with token %v", f.Duty, f.Token)
+	case !known && len(b.fences) >= FencesMost:
+		return false, protocol.Errorf(protocol.CodeUsage, "fence: %d duties are kept here, no more", FencesMost)
+	}
+	return f.Token == highest, b.checkFence(f.Fence)
+}
+
 func (b *Book) checkOpen(o *Open) (bool, error) {
 	r := o.Request
 	made, err := protocol.IDTime(r.ID)
@@ -272,6 +387,11 @@
 	case len(r.Instances) == 0 || len(r.Instances) > protocol.InstancesMost:
 		return false, protocol.Errorf(protocol.CodeUsage, "instances: %d are named, 1 to %d can be", len(r.Instances), protocol.InstancesMost)
 	}
+	if r.Fence != nil {
+		if _, err := b.checkRaise(&Fence{Fence: *r.Fence}); err != nil {
+			return false, err
+		}
+	}
 	names := map[string]bool{}
 	for _, s := range r.Instances {
 		if names[s.Name] {
@@ -283,6 +403,10 @@
 		same := c.Kind == r.Kind && c.Operator == o.Operator && len(c.Instances) == len(r.Instances) &&
 			!slices.ContainsFunc(c.Instances, func(n string) bool { return !names[n] })
 		switch {
+		case (c.Fence == nil) != (r.Fence == nil):
+			return false, b.checkSame(c, r.Fence)
+		case r.Fence != nil && c.Fence.Duty != r.Fence.Duty:
+			return false, protocol.Errorf(protocol.CodeConflict, "command %s is known here as one of %s", r.ID, c.Fence.Duty)
 		case !same && !r.Resume:
 			return false, protocol.Errorf(protocol.CodeConflict, "command %s is known here as another one: %s by %s", r.ID, c.Kind, c.Operator)
 		case c.Kind != r.Kind:
@@ -314,12 +438,20 @@
 				Text:   fmt.Sprintf("%s of %s on %s, begun for command %s, has not ended", c.Kind, c.Operator, s.Name, c.ID),
 			}
 		}
-		if i.Generation != s.Generation && !r.Resume {
+		// Whoever takes up a job's order looked just now; only that order itself may have changed
+		// the instance since, and an operator's drain meanwhile is not undone.
+		last := b.lastOn(s.Name)
+		blind := r.Resume && (r.Fence == nil || last != nil && last.Command == r.ID)
+		if i.Generation != s.Generation && !blind {
 			return false, &protocol.Error{
-				Code: protocol.CodeConflict, Instance: s.Name, Holder: b.lastOn(s.Name),
+				Code: protocol.CodeConflict, Instance: s.Name, Holder: last,
 				Text: fmt.Sprintf("%s has changed since it was looked at: generation %d, now %d", s.Name, s.Generation, i.Generation),
 			}
 		}
+		// What an operator has drained no job starts, whatever its owner has seen.
+		if r.Fence != nil && r.Kind == protocol.Restart && !i.Up && b.commands[r.ID] == nil {
+			return false, &protocol.Error{Code: protocol.CodeConflict, Instance: s.Name, Text: fmt.Sprintf("%s is drained", s.Name)}
+		}
 	}
 	return false, nil
 }
@@ -342,7 +474,14 @@
 	if !slices.Contains(c.Instances, e.Instance) {
 		return false, protocol.Errorf(protocol.CodeUsage, "command %s does not name %q", e.ID, e.Instance)
 	}
-	if o := b.operation(e.ID, e.Instance); o != nil && (o.State == protocol.Running || o.State == protocol.Done ||
+	if c.Fence != nil || e.Fence != nil {
+		if err := b.checkSame(c, e.Fence); err != nil {
+			return false, err
+		}
+	}
+	if o := b.operation(e.ID, e.Instance); o != nil && c.Fence != nil && o.State == protocol.Running && o.Token < c.Fence.Token {
+		return false, nil // its new owner takes it over
+	} else if o != nil && (o.State == protocol.Running || o.State == protocol.Done ||
 		c.Tries[e.Instance] == c.Resumes || c.State != protocol.Open) {
 		return true, nil // begun before: the operation is the answer
 	}
@@ -374,6 +513,16 @@
 			}
 			o.Steps = append(o.Steps, protocol.Step{Name: e.Step.Name, At: e.At, Note: clip(e.Step.Note)})
 		}
+	case e.Fence != nil:
+		b.fences[e.Fence.Duty] = max(b.fences[e.Fence.Duty], e.Fence.Token)
+	case e.Life != nil:
+		b.life = *e.Life
+	case e.Hold != nil:
+		for _, name := range e.Hold.Instances {
+			b.instance(name).Held = clip(e.Hold.Why)
+		}
+	case e.Learn != nil:
+		b.learn(e.Learn)
 	case e.Found != nil:
 		for _, name := range e.Found.Down {
 			if i := b.instances[name]; i != nil {
@@ -390,6 +539,30 @@
 	}
 }
 
+func (b *Book) instance(name string) *Instance {
+	if b.instances[name] == nil {
+		b.instances[name] = &Instance{}
+	}
+	return b.instances[name]
+}
+
+func (b *Book) learn(l *Learn) {
+	for name, w := range l.Instances {
+		if i := b.instance(name); w.Generation >= i.Generation {
+			i.Up, i.Generation, i.Held = w.Up, w.Generation, ""
+		}
+	}
+	for duty, t := range l.Fences {
+		b.fences[duty] = max(b.fences[duty], t)
+	}
+	if l.Whole {
+		b.life.Forgetful = false
+	}
+}
+
+// Life gives the agent's start on its folder that was written last; zero if none was.
+func (b *Book) Life() Life { return b.life }
+
 // clip bounds what is said of a thing.
 func clip(words string) string {
 	if len(words) <= wordsMost {
@@ -418,6 +591,10 @@
 		c.Resumes++
 	}
 	c.Kind, c.Operator, c.Plan, c.State, c.Reason = r.Kind, o.Operator, r.Plan, protocol.Open, ""
+	if r.Fence != nil {
+		c.Fence = &protocol.Fence{Duty: r.Fence.Duty, Token: r.Fence.Token}
+		b.fences[r.Fence.Duty] = max(b.fences[r.Fence.Duty], r.Fence.Token)
+	}
 	for _, s := range r.Instances {
 		if !slices.Contains(c.Instances, s.Name) {
 			c.Instances = append(c.Instances, s.Name)
@@ -431,26 +608,34 @@
 
 func (b *Book) begin(at time.Time, e *Begin) {
 	c := b.commands[e.ID]
-	i := b.instances[e.Instance]
 	if c == nil {
 		return
 	}
-	if i == nil {
-		i = &Instance{}
-		b.instances[e.Instance] = i
+	i := b.instance(e.Instance)
+	o := b.operation(e.ID, e.Instance)
+	if o != nil && o.State == protocol.Running && e.Fence != nil { // taken over by another owner: it goes on
+		o.Token = e.Fence.Token
+		return
 	}
 	i.Generation++
-	i.Operation = e.ID
+	i.Operation, i.Held = e.ID, ""
 	if c.Kind != protocol.Reload {
 		i.Up = c.Kind != protocol.Drain
 	}
-	c.Runs[e.Instance], c.Tries[e.Instance] = e.Run, c.Resumes
-	o := b.operation(e.ID, e.Instance)
+	c.Tries[e.Instance] = c.Resumes
+	if o == nil || o.State != protocol.Interrupted {
+		// An interrupted operation goes on from what ran when it began: a process that came
+		// since then is the new one already, and not to be ended once more.
+		c.Runs[e.Instance] = e.Run
+	}
 	if o == nil {
 		c.Operations = append(c.Operations, protocol.Operation{Command: c.ID, Kind: c.Kind, Instance: e.Instance, Began: at})
 		o = &c.Operations[len(c.Operations)-1]
 	}
 	o.Operator, o.Generation, o.State, o.Reason, o.Ended = c.Operator, i.Generation, protocol.Running, "", time.Time{}
+	if e.Fence != nil {
+		o.Token = e.Fence.Token
+	}
 }
 
 // busy tells that an operation of a command is under way.
@@ -484,7 +669,7 @@
 
 // Snapshot gives the whole book; it shares nothing with it.
 func (b *Book) Snapshot() *Snapshot {
-	s := &Snapshot{Instances: map[string]*Instance{}, Commands: make([]*Command, 0, len(b.order)), Horizon: b.horizon}
+	s := &Snapshot{Instances: map[string]*Instance{}, Commands: make([]*Command, 0, len(b.order)), Horizon: b.horizon, Fences: maps.Clone(b.fences), Life: b.life}
 	for name, i := range b.instances {
 		copied := *i
 		s.Instances[name] = &copied
@@ -502,6 +687,9 @@
 		b.instances[name] = &copied
 	}
 	b.commands, b.holders, b.order, b.horizon = map[string]*Command{}, map[string]*Command{}, nil, s.Horizon
+	b.fences = map[string]protocol.Token{}
+	maps.Copy(b.fences, s.Fences)
+	b.life = s.Life
 	for _, c := range s.Commands {
 		kept := c.clone()
 		b.commands[c.ID] = kept
--- a/internal/fleet/client/client.go
+++ b/internal/fleet/client/client.go
@@ -25,6 +25,7 @@
 	name string
 	base string
 	http *http.Transport
+	dial func(ctx context.Context) (net.Conn, error) // a connection of its own
 }
 
 // New makes a client of the agent at an address: "unix:/path" or "https://host:port".
@@ -34,9 +35,10 @@
 	c := &Client{name: name, http: t}
 	if path, ok := strings.CutPrefix(address, "unix:"); ok && path != "" {
 		c.base = "http://agent"
-		t.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		c.dial = func(ctx context.Context) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "unix", path)
 		}
+		t.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) { return c.dial(ctx) }
 		return c, nil
 	}
 	u, err := url.Parse(address)
@@ -47,6 +49,13 @@
 		return nil, fmt.Errorf("agent %s: %s needs ca, cert and key", name, address)
 	}
 	c.base = "https://" + u.Host
+	host := u.Host
+	if u.Port() == "" {
+		host = net.JoinHostPort(u.Hostname(), "443")
+	}
+	c.dial = func(ctx context.Context) (net.Conn, error) {
+		return (&tls.Dialer{Config: conf}).DialContext(ctx, "tcp", host)
+	}
 	return c, nil
 }
 
@@ -97,6 +106,9 @@
 		return err
 	}
 	req.Header.Set(protocol.VersionHeader, strconv.Itoa(protocol.Version))
+	if f, ok := ctx.Value(fenceKey{}).(protocol.Fence); ok {
+		req.Header.Set(protocol.FenceHeader, f.String())
+	}
 	resp, err := c.http.RoundTrip(req)
 	if err != nil {
 		return err
@@ -123,6 +135,13 @@
 	return nil
 }
 
+type fenceKey struct{}
+
+// WithFence makes calls under a context the orders of a duty's owner.
+func WithFence(ctx context.Context, f protocol.Fence) context.Context {
+	return context.WithValue(ctx, fenceKey{}, f)
+}
+
 // Agent asks for the agent's own state.
 func (c *Client) Agent(ctx context.Context) (a protocol.Agent, err error) {
 	return a, c.call(ctx, http.MethodGet, "/agent", nil, &a)
@@ -133,11 +152,26 @@
 	return list, c.call(ctx, http.MethodGet, "/instances", nil, &list)
 }
 
+// Recovery asks what the agent knows of its own memory, and what it holds.
+func (c *Client) Recovery(ctx context.Context) (r protocol.Recovery, err error) {
+	return r, c.call(ctx, http.MethodGet, "/recovery", nil, &r)
+}
+
+// Decide says what is desired of an instance that is held.
+func (c *Client) Decide(ctx context.Context, instance string, up bool) (r protocol.Recovery, err error) {
+	return r, c.call(ctx, http.MethodPost, "/recovery/"+url.PathEscape(instance), protocol.Decision{Up: up}, &r)
+}
+
 // Inspect asks what an instance is doing.
 func (c *Client) Inspect(ctx context.Context, instance string) (i control.Inspection, err error) {
 	return i, c.call(ctx, http.MethodGet, "/instances/"+url.PathEscape(instance)+"/inspect", nil, &i)
 }
 
+// Keep has an instance do something with what it keeps for its way back.
+func (c *Client) Keep(ctx context.Context, instance string, k control.Keep) (i control.Inspection, err error) {
+	return i, c.call(ctx, http.MethodPost, "/instances/"+url.PathEscape(instance)+"/kept", k, &i)
+}
+
 // Commands asks for the latest commands.
 func (c *Client) Commands(ctx context.Context) (list []protocol.Command, err error) {
 	return list, c.call(ctx, http.MethodGet, "/commands", nil, &list)
--- /dev/null
+++ b/internal/fleet/ctl/council.go
@@ -0,0 +1,418 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"otterstep/internal/cli"
+	"otterstep/internal/fleet/duty"
+	"otterstep/internal/fleet/group"
+	"otterstep/internal/fleet/protocol"
+)
+
+// councilExit gives an error of the council's its exit code: a refusal changed nothing, and
+// without an answer nothing is known.
+func councilExit(err error) error {
+	var refused *protocol.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, group.ErrNoCouncil):
+		return &cli.Exit{Code: cli.Usage, Err: err}
+	case !errors.As(err, &refused), refused.Code == protocol.CodeNoCouncil:
+		return &cli.Exit{Code: cli.Silent, Err: err}
+	case refused.Code == protocol.CodeConflict, refused.Code == protocol.CodeFenced:
+		return &cli.Exit{Code: cli.Conflict, Err: err}
+	case refused.Code == protocol.CodeUsage, refused.Code == protocol.CodeNotFound:
+		return &cli.Exit{Code: cli.Usage, Err: err}
+	}
+	return &cli.Exit{Code: cli.Failed, Err: err}
+}
+
+// submit hands a rollout to the council, and watches it unless told not to. The job goes on
+// whatever becomes of the tool.
+func (o *options) submit(ctx context.Context, c *cobra.Command, f *group.Fleet, order group.Order, detach bool) error {
+	j, silent, err := f.Submit(ctx, order)
+	if errors.Is(err, group.ErrNone) {
+		return &cli.Exit{Code: cli.Usage, Err: err}
+	}
+	if err != nil {
+		return councilExit(err)
+	}
+	if detach {
+		return o.show(c.OutOrStdout(), j, func(p *printer) { fmt.Fprintf(p.tab, "job %s\n", j.ID); p.silent(silent) }, len(silent) > 0)
+	}
+	quiet := o.output == "json"
+	if !quiet {
+		fmt.Fprintf(c.ErrOrStderr(), "job %s goes on without this tool\n", j.ID)
+	}
+	progress := newProgress(c.ErrOrStderr(), !quiet)
+	said := ""
+	j = f.Follow(ctx, j, progress.result, func(text string) {
+		if text != said && !quiet {
+			said = text
+			fmt.Fprintln(c.ErrOrStderr(), clean(text))
+		}
+	})
+	progress.end()
+	if err := o.show(c.OutOrStdout(), j, func(p *printer) { p.job(j); p.silent(silent) }, false); err != nil {
+		return err
+	}
+	if err := jobExit(j); err != nil || len(silent) == 0 {
+		return err
+	}
+	return &cli.Exit{Code: cli.Silent}
+}
+
+// jobExit gives a job's exit code: 3 while it goes on.
+func jobExit(j *duty.Job) error {
+	switch {
+	case j.Open() || j.State == duty.Paused:
+		return &cli.Exit{Code: cli.Silent}
+	case j.State != duty.Finished:
+		return &cli.Exit{Code: cli.Failed}
+	}
+	return nil
+}
+
+// view shows what the council knows. An answer that may be old says so, and has exit code 3.
+func (o *options) view(c *cobra.Command, show func(v duty.View) (answer any, table func(*printer), err error)) error {
+	return o.look(c, func(ctx context.Context, f *group.Fleet) error {
+		v, err := f.View(ctx)
+		if err != nil {
+			return councilExit(err)
+		}
+		answer, table, err := show(v)
+		if err != nil {
+			return err
+		}
+		return o.show(c.OutOrStdout(), answer, func(p *printer) {
+			p.currency(v)
+			table(p)
+		}, !v.Current)
+	})
+}
+
+// do has a command agreed on and says so.
+func (o *options) do(c *cobra.Command, k duty.Command, done string) error {
+	return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+		a, err := f.Do(ctx, k)
+		if err != nil {
+			return councilExit(err)
+		}
+		return o.show(c.OutOrStdout(), a, func(p *printer) { fmt.Fprintln(p.tab, done) }, false)
+	})
+}
+
+func (o *options) owners() *cobra.Command {
+	owners := &cobra.Command{
+		Use: "owners", Short: "Show who owns which duty, under which token, for how long", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return o.view(c, func(v duty.View) (any, func(*printer), error) {
+				return v, func(p *printer) { p.owners(v) }, nil
+			})
+		},
+	}
+	owners.AddCommand(&cobra.Command{
+		Use: "release DUTY", Short: "Take a duty from its owner: the next one may have it at once, and the owner's orders are refused", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+				v, err := f.View(ctx)
+				if err != nil {
+					return councilExit(err)
+				}
+				i := slices.IndexFunc(v.Duties, func(d duty.Owned) bool { return d.Name == args[0] })
+				if i < 0 {
+					return usage("there is no duty %q", args[0])
+				}
+				if v.Duties[i].Owner == "" {
+					return usage("nobody owns %s", args[0])
+				}
+				d := v.Duties[i]
+				a, err := f.Do(ctx, duty.Command{Release: &duty.Release{Fence: duty.Fence{Duty: d.Name, Token: d.Token}, Forced: true}})
+				if err != nil {
+					return councilExit(err)
+				}
+				return o.show(c.OutOrStdout(), a, func(p *printer) {
+					fmt.Fprintf(p.tab, "%s was %s's, token %v\n", d.Name, d.Owner, d.Token)
+				}, false)
+			})
+		},
+	})
+	return owners
+}
+
+func (o *options) jobs() *cobra.Command {
+	jobs := &cobra.Command{Use: "jobs", Short: "Look at the fleet's jobs, and pause, resume or cancel them"}
+	jobs.AddCommand(
+		&cobra.Command{
+			Use: "list", Short: "List jobs, the latest last", Args: cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error {
+				return o.view(c, func(v duty.View) (any, func(*printer), error) {
+					return v, func(p *printer) { p.jobs(v) }, nil
+				})
+			},
+		},
+		&cobra.Command{
+			Use: "show ID", Short: "Show a job with each instance", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				return o.view(c, func(v duty.View) (any, func(*printer), error) {
+					i := slices.IndexFunc(v.Jobs, func(j *duty.Job) bool { return j.ID == args[0] })
+					if i < 0 {
+						return nil, nil, usage("there is no job %s", args[0])
+					}
+					answer := struct {
+						*duty.Job
+						Says    string `json:"says,omitempty"`
+						Current bool   `json:"current"`
+					}{v.Jobs[i], v.Says[args[0]], v.Current}
+					return answer, func(p *printer) {
+						p.job(v.Jobs[i])
+						if why := v.Says[args[0]]; why != "" {
+							fmt.Fprintln(p.tab, clean(why))
+						}
+					}, nil
+				})
+			},
+		})
+	for _, turn := range []struct{ word, to, short, done string }{
+		{"pause", duty.Paused, "Begin nothing further; what is under way goes on to its end", "paused"},
+		{"resume", duty.Active, "Go on with a paused or stopped job; what failed is tried again", "goes on"},
+		{"cancel", duty.Cancelled, "End a job; what is under way goes on to its end", "cancelled"},
+	} {
+		jobs.AddCommand(&cobra.Command{
+			Use: turn.word + " ID", Short: turn.short, Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				return o.do(c, duty.Command{Turn: &duty.Turn{Job: args[0], To: turn.to}}, fmt.Sprintf("job %s %s", args[0], turn.done))
+			},
+		})
+	}
+	return jobs
+}
+
+func (o *options) council() *cobra.Command {
+	root := &cobra.Command{Use: "council", Short: "Look at the agents that agree on the fleet's duties, and change who votes"}
+	root.AddCommand(&cobra.Command{
+		Use: "status", Short: "Show each agent's voter: leader, term, lag, who did not answer", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return o.look(c, func(ctx context.Context, f *group.Fleet) error {
+				voters, silent := f.Voters(ctx)
+				answer := struct {
+					Voters []duty.Status  `json:"voters"`
+					Silent []group.Silent `json:"silent"`
+				}{voters, silent}
+				return o.show(c.OutOrStdout(), answer, func(p *printer) { p.voters(voters); p.silent(silent) }, len(silent) > 0)
+			})
+		},
+	})
+	for _, change := range []struct {
+		word, short, done string
+		add               bool
+	}{
+		{"add", "Have one more agent vote; it learns first", "is to vote: otterctl council status tells when it does", true},
+		{"remove", "Have an agent vote no longer", "is to vote no longer", false},
+	} {
+		root.AddCommand(&cobra.Command{
+			Use: change.word + " AGENT", Short: change.short, Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				return o.do(c, duty.Command{Voter: &duty.Voter{Name: args[0], Add: change.add}}, args[0]+" "+change.done)
+			},
+		})
+	}
+	confirm := ""
+	voters := []string{}
+	recover := &cobra.Command{
+		Use: "recover --voters AGENT --confirm CLUSTER", Short: "Have one voter go on alone when most others are gone for good", Args: cobra.NoArgs,
+		Long: `Has one voter go on alone when most others are gone for good.
+
+The price: what only the lost voters had agreed on is lost (jobs, their progress, drains that no
+agent and no survivor knows of). Voters of before that turn up later are refused, and have to come
+with an empty folder. Every token of before is over. It is refused while a majority lives.
+--confirm takes the fleet's name, council.cluster, as a sign that all this is meant.`,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if len(voters) != 1 {
+				return usage("--voters: name the one survivor that is to go on; others are added to it by council add")
+			}
+			if confirm == "" {
+				return usage("--confirm CLUSTER: say that it is meant; otterctl council recover --help tells the price")
+			}
+			return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+				a := f.Agent(voters[0])
+				if a == nil {
+					return usage("--voters: no agent %q", voters[0])
+				}
+				if err := a.CouncilRecover(ctx, confirm); err != nil {
+					return councilExit(err)
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s goes on alone within seconds: otterctl council status tells when; then council add two more\n", voters[0])
+				return nil
+			})
+		},
+	}
+	recover.Flags().StringSliceVar(&voters, "voters", nil, "the survivor that is to go on")
+	recover.Flags().StringVar(&confirm, "confirm", "", "the fleet's name")
+	root.AddCommand(recover)
+	return root
+}
+
+// backups are the commands that keep a council's state in a file, and bring it back.
+func (o *options) backups() []*cobra.Command {
+	confirm := ""
+	restore := &cobra.Command{
+		Use: "restore FILE", Short: "Bring back from a backup what the council has lost; nothing newer is undone", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return &cli.Exit{Code: cli.Usage, Err: err}
+			}
+			b := &duty.Backup{}
+			if err := json.Unmarshal(text, b); err != nil {
+				return usage("%s: is no backup, or is cut: %v", args[0], err)
+			}
+			state, err := b.Check(b.Cluster)
+			if err != nil {
+				return &cli.Exit{Code: cli.Usage, Err: fmt.Errorf("%s: %w", args[0], err)}
+			}
+			age := time.Since(b.Taken).Round(time.Second)
+			if confirm != b.Cluster {
+				words := 0
+				for _, m := range state.Agents() {
+					words += len(m.Instances)
+				}
+				return usage("%s: of the fleet %q, %v old, with words on %d instances and %d jobs; what was said since is not in it. --confirm %s restores it", args[0], b.Cluster, age, words, len(state.Jobs()), b.Cluster)
+			}
+			return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+				a, err := f.Do(ctx, duty.Command{Restore: &duty.Restore{Backup: b}})
+				if err != nil {
+					return councilExit(err)
+				}
+				return o.show(c.OutOrStdout(), a, func(p *printer) {
+					fmt.Fprintf(p.tab, "restored, as of %v ago\n", age)
+					for _, k := range a.Kept {
+						fmt.Fprintln(p.tab, clean(k))
+					}
+				}, false)
+			})
+		},
+	}
+	restore.Flags().StringVar(&confirm, "confirm", "", "the backup's fleet, as a sign that it is meant")
+	return []*cobra.Command{restore, {
+		Use: "backup FILE", Short: "Write the council's state to a new file", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return o.with(c, func(ctx context.Context, f *group.Fleet) error {
+				b, err := f.Backup(ctx)
+				if err != nil {
+					return councilExit(err)
+				}
+				text, err := json.Marshal(b)
+				if err != nil {
+					return err
+				}
+				file, err := os.OpenFile(args[0], os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+				if err != nil {
+					return &cli.Exit{Code: cli.Usage, Err: err}
+				}
+				_, err = file.Write(text)
+				if err = errors.Join(err, file.Sync(), file.Close()); err != nil {
+					return err
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s: %d bytes of the fleet %q\n", args[0], len(text), b.Cluster)
+				return nil
+			})
+		},
+	}}
+}
+
+// currency says so if what is shown may be old.
+func (p *printer) currency(v duty.View) {
+	if !v.Current {
+		fmt.Fprintf(p.tab, "MAY BE OLD: %s answers and no majority stands behind it; it last heard of a leader %v ago\n", clean(v.From), v.Age.Round(time.Second))
+	}
+}
+
+func (p *printer) owners(v duty.View) {
+	p.line("DUTY", "OWNER", "TOKEN", "LEASE LEFT")
+	for _, d := range v.Duties {
+		left := ""
+		switch {
+		case d.Owner == "":
+		case d.Known:
+			left = d.Left.Round(100 * time.Millisecond).String()
+		default:
+			left = "not known"
+		}
+		p.line(d.Name, d.Owner, d.Token, left)
+	}
+	fmt.Fprintf(p.tab, "\nleader %s, voters %s\n", clean(cmp.Or(v.Leader, "not known")), clean(strings.Join(v.Voters, ", ")))
+}
+
+func (p *printer) jobs(v duty.View) {
+	p.line("JOB", "KIND", "STATE", "OPERATOR", "SUBMITTED", "DONE", "OF", "AWAY AT MOST", "WHY")
+	for _, j := range v.Jobs {
+		done := 0
+		for _, s := range j.Steps {
+			if s.Phase == duty.Done {
+				done++
+			}
+		}
+		p.line(j.ID, j.Kind, j.State, j.Operator, p.age(j.Submitted)+" ago", done, len(j.Steps), j.MaxUnavailable, cmp.Or(j.Why, v.Says[j.ID]))
+	}
+}
+
+func (p *printer) job(j *duty.Job) {
+	p.line("AGENT", "INSTANCE", "OUTCOME", "TOKEN", "")
+	for i, s := range j.Steps {
+		outcome := s.Phase
+		switch {
+		case s.Phase == duty.Intent:
+			outcome = "under way"
+		case s.Phase == duty.Waiting && j.Open():
+			outcome = "waiting"
+		case s.Phase == duty.Waiting:
+			outcome = group.Left
+		}
+		token := ""
+		if s.Token != 0 {
+			token = s.Token.String()
+		}
+		p.line(j.Targets[i].Agent, j.Targets[i].Instance, outcome, token, s.Text)
+	}
+	fmt.Fprintf(p.tab, "\njob %s of %s: %s", j.ID, clean(j.Operator), j.State)
+	if j.By != "" {
+		fmt.Fprintf(p.tab, " by %s", clean(j.By))
+	}
+	if j.Why != "" {
+		fmt.Fprintf(p.tab, ": %s", clean(j.Why))
+	}
+	fmt.Fprintln(p.tab)
+}
+
+func (p *printer) voters(all []duty.Status) {
+	last := uint64(0)
+	for _, s := range all {
+		last = max(last, s.Last)
+	}
+	p.line("AGENT", "STATE", "LEADER", "TERM", "LAG", "HEARD", "SLOWEST WRITE", "WHY")
+	for _, s := range all {
+		lag, heard, slow := "", "", ""
+		if s.Server != "" {
+			lag = fmt.Sprint(last - min(last, s.Applied))
+		}
+		if s.Contact > 0 {
+			heard = s.Contact.Round(time.Millisecond).String() + " ago"
+		}
+		if s.SlowFor > 0 {
+			slow = s.SlowFor.Round(time.Millisecond).String()
+		}
+		p.line(s.Agent, s.State, s.Leader, s.Term, lag, heard, slow, s.Why)
+	}
+}
--- a/internal/fleet/ctl/ctl.go
+++ b/internal/fleet/ctl/ctl.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -44,7 +45,8 @@
 	root.PersistentFlags().StringVar(&o.fleet, "fleet", "", "`file` that lists the agents; $"+fleetVar+" or fleet.toml if not given")
 	root.PersistentFlags().StringVarP(&o.output, "output", "o", "table", "table, wide or json")
 	root.PersistentFlags().DurationVar(&o.timeout, "timeout", 30*time.Second, "for the whole command, however many agents hang; 5s if it only looks")
-	root.AddCommand(o.list(), o.inspect(), o.agents(), o.watch(), o.ops(), pkiCommand())
+	root.AddCommand(o.list(), o.inspect(), o.agents(), o.watch(), o.ops(), o.owners(), o.jobs(), o.council(), o.recovery(), o.kept(), pkiCommand())
+	root.AddCommand(o.backups()...)
 	for kind, short := range map[string]string{
 		protocol.Start:   "Start instances and wait until they serve",
 		protocol.Drain:   "Have instances drain and end, and leave them down",
@@ -172,6 +174,11 @@
 
 func (o *options) inspect() *cobra.Command {
 	c := &cobra.Command{Use: "inspect NAME…", Short: "Show what instances are doing, down to their servers"}
+	return o.ask(c, (*group.Fleet).Inspect, (*printer).inspected)
+}
+
+// ask has a command ask each of the selected instances, and show their answers.
+func (o *options) ask(c *cobra.Command, call func(*group.Fleet, context.Context, []group.Row) []group.Inspected, table func(*printer, []group.Inspected)) *cobra.Command {
 	o.selecting(c)
 	c.RunE = func(c *cobra.Command, names []string) error {
 		s, err := o.selector(names)
@@ -179,7 +186,7 @@
 			return err
 		}
 		if s.Empty() {
-			return usage("inspect: name instances, or all")
+			return usage("%s: name instances, or all", strings.TrimPrefix(c.CommandPath(), "otterctl "))
 		}
 		return o.look(c, func(ctx context.Context, f *group.Fleet) error {
 			l := f.ListFirst(ctx)
@@ -187,7 +194,7 @@
 			if err != nil && len(l.Silent) == 0 {
 				return &cli.Exit{Code: cli.Usage, Err: err}
 			}
-			all := f.Inspect(ctx, rows)
+			all := call(f, ctx, rows)
 			silent, failed := len(l.Silent) > 0, false
 			for _, i := range all {
 				silent = silent || i.Silent
@@ -197,7 +204,7 @@
 				Instances []group.Inspected `json:"instances"`
 				Silent    []group.Silent    `json:"silent"`
 			}{all, l.Silent}
-			err = o.show(c.OutOrStdout(), answer, func(p *printer) { p.inspected(all); p.silent(l.Silent) }, silent)
+			err = o.show(c.OutOrStdout(), answer, func(p *printer) { table(p, all); p.silent(l.Silent) }, silent)
 			if failed {
 				return &cli.Exit{Code: cli.Failed}
 			}
@@ -242,6 +249,7 @@
 	c.Flags().BoolVar(&o.dryRun, "dry-run", false, "say what would be done, and do nothing")
 	most := c.Flags().Int("max-unavailable", 1, "instances of the group that may be away at once, for whatever reason")
 	pause := c.Flags().Duration("pause", 0, "between an instance's return and the next one's turn")
+	detach := c.Flags().Bool("detach", false, "with a council: submit the job, and don't watch it")
 	c.RunE = func(c *cobra.Command, names []string) error {
 		if *most < 1 || *pause < 0 {
 			return usage("--max-unavailable must be 1 or more, --pause not negative")
@@ -249,11 +257,44 @@
 		if !c.Flags().Changed("timeout") {
 			o.timeout = 10 * time.Minute
 		}
-		return o.give(c, names, group.Order{Plan: group.Plan{Kind: protocol.Restart, MaxUnavailable: *most, Pause: *pause}})
+		return o.roll(c, names, group.Order{Plan: group.Plan{Kind: protocol.Restart, MaxUnavailable: *most, Pause: *pause}}, *detach)
 	}
 	return c
 }
 
+// roll submits a rollout to the council and watches it; in a fleet without one the tool drives.
+func (o *options) roll(c *cobra.Command, names []string, order group.Order, detach bool) error {
+	s, err := o.selector(names)
+	if err != nil {
+		return err
+	}
+	if s.Empty() {
+		return nothing(c)
+	}
+	order.Select = s
+	driven := o.dryRun
+	if !driven {
+		err := o.with(c, func(ctx context.Context, f *group.Fleet) error {
+			if _, err := f.View(ctx); !errors.Is(err, group.ErrNoCouncil) {
+				return o.submit(ctx, c, f, order, detach)
+			}
+			driven = true
+			return nil
+		})
+		if !driven {
+			return err
+		}
+	}
+	if detach {
+		return usage("--detach: no agent of this fleet has [council], so that the tool drives the rollout and has to stay")
+	}
+	return o.give(c, names, order)
+}
+
+func nothing(c *cobra.Command) error {
+	return usage("%s: name instances, or all, or narrow them down by --group or --label", c.CommandPath())
+}
+
 // give gives an order and reports on it.
 func (o *options) give(c *cobra.Command, names []string, order group.Order) error {
 	s, err := o.selector(names)
@@ -261,7 +302,7 @@
 		return err
 	}
 	if s.Empty() && order.Resume == "" {
-		return usage("%s: name instances, or all, or narrow them down by --group or --label", c.CommandPath())
+		return nothing(c)
 	}
 	order.Select, order.DryRun = s, o.dryRun
 	return o.with(c, func(ctx context.Context, f *group.Fleet) error {
--- /dev/null
+++ b/internal/fleet/group/council.go
@@ -0,0 +1,200 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"otterstep/internal/fleet/client"
+	"otterstep/internal/fleet/duty"
+	"otterstep/internal/fleet/protocol"
+)
+
+const (
+	watchEvery = 250 * time.Millisecond
+	// askShare of the time that is left is what one agent may take over a council's answer.
+	askShare = 4
+)
+
+// ErrNoCouncil means that no agent has [council] in its file: tools drive by themselves.
+var ErrNoCouncil = errors.New("no agent of this fleet has [council] in its file")
+
+// ask puts a call to the agents in turn until one of them brings an answer of the council.
+func (f *Fleet) ask(ctx context.Context, call func(context.Context, *client.Client) error) error {
+	without, last := 0, error(nil)
+	for _, a := range f.agents {
+		limit, cancel := context.WithTimeout(ctx, remaining(ctx)/askShare)
+		err := call(limit, a)
+		cancel()
+		var refused *protocol.Error
+		switch {
+		case err == nil:
+			return nil
+		case !errors.As(err, &refused):
+			if last == nil { // an agent's word says more than silence
+				last = fmt.Errorf("%s: %w", a.Name(), err)
+			}
+			continue
+		case refused.Code == protocol.CodeOff:
+			without++
+			continue
+		case refused.Code != protocol.CodeNoCouncil:
+			return refused
+		}
+		last = fmt.Errorf("%s: %w", a.Name(), err)
+	}
+	if without == len(f.agents) || last == nil {
+		return ErrNoCouncil
+	}
+	return last
+}
+
+// View gives what the council has agreed on, or what some voter knows of it.
+func (f *Fleet) View(ctx context.Context) (v duty.View, err error) {
+	var old *duty.View
+	err = f.ask(ctx, func(ctx context.Context, a *client.Client) error {
+		got, err := a.CouncilView(ctx, false)
+		var refused *protocol.Error
+		if errors.As(err, &refused) && refused.Code == protocol.CodeNotFound { // an agent from before there were councils
+			refused.Code = protocol.CodeOff
+		}
+		if err == nil && !got.Current {
+			if old == nil || got.Age < old.Age {
+				old = &got
+			}
+			return protocol.Errorf(protocol.CodeNoCouncil, "knows only what may be old")
+		}
+		v = got
+		return err
+	})
+	if err != nil && old != nil {
+		return *old, nil
+	}
+	return v, err
+}
+
+// Do has a command agreed on.
+func (f *Fleet) Do(ctx context.Context, c duty.Command) (answer duty.Answer, err error) {
+	c.Form = duty.Form
+	err = f.ask(ctx, func(ctx context.Context, a *client.Client) error {
+		var err error
+		answer, err = a.CouncilDo(ctx, c, false)
+		return err
+	})
+	return answer, err
+}
+
+// Backup gives the council's whole state.
+func (f *Fleet) Backup(ctx context.Context) (b *duty.Backup, err error) {
+	err = f.ask(ctx, func(ctx context.Context, a *client.Client) error {
+		var err error
+		b, err = a.CouncilBackup(ctx, false)
+		return err
+	})
+	return b, err
+}
+
+// Voters gives the state of each agent's voter, and who did not answer.
+func (f *Fleet) Voters(ctx context.Context) ([]duty.Status, []Silent) {
+	began := time.Now()
+	all := make([]duty.Status, len(f.agents))
+	errs := make([]error, len(f.agents))
+	f.each(func(n int, a *client.Client) { all[n], errs[n] = a.CouncilStatus(ctx) })
+	states, silent := []duty.Status{}, []Silent{}
+	for n, a := range f.agents {
+		if errs[n] != nil {
+			silent = append(silent, silentOf(a.Name(), began, errs[n]))
+		} else {
+			states = append(states, all[n])
+		}
+	}
+	return states, silent
+}
+
+// Submit has a job agreed on that does what an order says. From then on it goes on whatever
+// becomes of the tool. What is at agents that did not answer is not in it.
+func (f *Fleet) Submit(ctx context.Context, o Order) (*duty.Job, []Silent, error) {
+	listing := f.ListFirst(ctx)
+	rows, err := listing.Select(o.Select)
+	if err != nil {
+		return nil, listing.Silent, err
+	}
+	if o.ID == "" {
+		o.ID = protocol.NewID(time.Now(), rand.Uint64())
+	}
+	j := &duty.Job{ID: o.ID, Kind: o.Kind, Submitted: time.Now(), MaxUnavailable: o.MaxUnavailable, Pause: o.Pause}
+	for _, r := range rows {
+		j.Targets = append(j.Targets, duty.Target{Agent: r.Agent, Instance: r.Name, Group: r.Group})
+	}
+	a, err := f.Do(ctx, duty.Command{Submit: j})
+	return a.Job, listing.Silent, err
+}
+
+// Follow watches a job until it is over or ctx ends, and gives what is known of it last.
+// progress is told of each instance's end, says of why it waits.
+func (f *Fleet) Follow(ctx context.Context, j *duty.Job, progress func(Result), says func(string)) *duty.Job {
+	told := map[string]bool{}
+	every := time.NewTicker(watchEvery)
+	defer every.Stop()
+	for {
+		for _, r := range Results(j) {
+			if r.Outcome != Would && !told[r.Agent+"/"+r.Instance] && (r.Outcome != Left || !j.Open()) {
+				told[r.Agent+"/"+r.Instance] = true
+				progress(r)
+			}
+		}
+		if !j.Open() && j.State != duty.Paused {
+			return j
+		}
+		select {
+		case <-ctx.Done():
+			return j
+		case <-every.C:
+		}
+		limit, cancel := context.WithTimeout(ctx, healthEvery)
+		v, err := f.View(limit)
+		cancel()
+		if err != nil {
+			says(err.Error())
+			continue
+		}
+		for _, is := range v.Jobs {
+			if is.ID == j.ID {
+				j = is
+			}
+		}
+		switch why := v.Says[j.ID]; {
+		case !v.Current:
+			says(fmt.Sprintf("what is known may be %v old", v.Age.Round(time.Second)))
+		case j.State == duty.Paused:
+			says("paused by " + j.By)
+		case why != "":
+			says(why)
+		}
+	}
+}
+
+// Results gives a job's steps as those of a command. An instance that is not at its end has
+// the outcome Would while the job is open, and Left once it is not.
+func Results(j *duty.Job) []Result {
+	all := make([]Result, 0, len(j.Steps))
+	for i, step := range j.Steps {
+		r := Result{Agent: j.Targets[i].Agent, Instance: j.Targets[i].Instance, Text: step.Text}
+		switch {
+		case step.Phase == duty.Done:
+			r.Outcome = Done
+		case step.Phase == duty.Failed:
+			r.Outcome = Failed
+		case step.Phase == duty.Left:
+			r.Outcome = Left
+		case j.Open():
+			r.Outcome = Would
+		default:
+			r.Outcome, r.Text = Left, "not begun: job "+j.State
+		}
+		all = append(all, r)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/fleet/group/export_test.go
@@ -0,0 +1,7 @@
+package group
+
+// What tests outside the package need of it.
+const (
+	FreeWithin = freeWithin
+	ListShare  = listShare
+)
--- a/internal/fleet/group/group.go
+++ b/internal/fleet/group/group.go
@@ -32,6 +32,9 @@
 	return f
 }
 
+// All gives the ways to all agents, in the order of their names.
+func (f *Fleet) All() []*client.Client { return slices.Clone(f.agents) }
+
 // Row is an instance with its agent's name.
 type Row struct {
 	Agent string `json:"agent"`
@@ -165,6 +168,20 @@
 
 // Inspect asks instances what they are doing.
 func (f *Fleet) Inspect(ctx context.Context, rows []Row) []Inspected {
+	return f.eachRow(ctx, rows, func(ctx context.Context, r Row) (control.Inspection, error) {
+		return f.Agent(r.Agent).Inspect(ctx, r.Name)
+	})
+}
+
+// Keep has instances do something with what they keep for their way back.
+func (f *Fleet) Keep(ctx context.Context, rows []Row, k control.Keep) []Inspected {
+	return f.eachRow(ctx, rows, func(ctx context.Context, r Row) (control.Inspection, error) {
+		return f.Agent(r.Agent).Keep(ctx, r.Name, k)
+	})
+}
+
+// eachRow makes a call about each of some instances, a bounded number at once.
+func (f *Fleet) eachRow(ctx context.Context, rows []Row, call func(context.Context, Row) (control.Inspection, error)) []Inspected {
 	all := make([]Inspected, len(rows))
 	slots := make(chan struct{}, atOnce)
 	var work sync.WaitGroup
@@ -174,7 +191,7 @@
 			defer func() { <-slots }()
 			all[n].Row = r
 			began := time.Now()
-			i, err := f.agent(r.Agent).Inspect(ctx, r.Name)
+			i, err := call(ctx, r)
 			if err == nil {
 				all[n].Inspection = &i
 				return
@@ -188,7 +205,8 @@
 	return all
 }
 
-func (f *Fleet) agent(name string) *client.Client {
+// Agent gives the way to an agent; nil if there is none of that name.
+func (f *Fleet) Agent(name string) *client.Client {
 	for _, a := range f.agents {
 		if a.Name() == name {
 			return a
@@ -215,6 +233,23 @@
 	return good, silent
 }
 
+// Recoveries gives what each agent knows of its own memory.
+func (f *Fleet) Recoveries(ctx context.Context) ([]protocol.Recovery, []Silent) {
+	began := time.Now()
+	all := make([]protocol.Recovery, len(f.agents))
+	errs := make([]error, len(f.agents))
+	f.each(func(n int, a *client.Client) { all[n], errs[n] = a.Recovery(ctx) })
+	good, silent := []protocol.Recovery{}, []Silent{}
+	for n, a := range f.agents {
+		if errs[n] != nil {
+			silent = append(silent, silentOf(a.Name(), began, errs[n]))
+		} else {
+			good = append(good, all[n])
+		}
+	}
+	return good, silent
+}
+
 // Part is a command's part at one agent.
 type Part struct {
 	Agent string `json:"agent"`
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -36,7 +36,8 @@
 	// Start starts an instance's process under a token of its own. It is an error if
 	// one runs already.
 	Start(i Spec, token string) (Process, int, error)
-	// Adopt finds the process that runs; nil if none does. An error means that one may
+	// Adopt finds the process that runs; nil if none does. The token is that of the latest
+	// launch, also if its process is gone, "" if it can't be told. An error means that one may
 	// run about which nothing is known.
 	Adopt(i Spec) (p Process, token string, pid int, err error)
 	// Names gives the instances of which a process runs, defined or not.
@@ -45,6 +46,8 @@
 	Up(ctx context.Context, i Spec) bool
 	// Inspect asks an instance what it is doing.
 	Inspect(ctx context.Context, i Spec) (control.Inspection, error)
+	// Keep has an instance do something with what it keeps for its way back.
+	Keep(ctx context.Context, i Spec, k control.Keep) error
 	// Trim bounds what the instance has logged.
 	Trim(i Spec) error
 }
--- a/internal/fleet/instance/processes.go
+++ b/internal/fleet/instance/processes.go
@@ -64,7 +64,7 @@
 func (r *Processes) Adopt(i Spec) (Process, string, int, error) {
 	p, err := proc.Adopt(r.runFile(i))
 	if err != nil || p == nil {
-		return nil, "", 0, err
+		return nil, proc.Latest(r.runFile(i)), 0, err
 	}
 	return p, p.Token, p.Pid, nil
 }
@@ -109,6 +109,11 @@
 	return control.Inspect(ctx, i.Control)
 }
 
+// Keep implements Runner.
+func (r *Processes) Keep(ctx context.Context, i Spec, k control.Keep) error {
+	return control.TellKept(ctx, i.Control, k)
+}
+
 // Trim implements Runner. Lines that are written between the copy and the cut are
 // lost; the instance appends, so that it goes on at the start.
 func (r *Processes) Trim(i Spec) error {
--- a/internal/fleet/pki/pki.go
+++ b/internal/fleet/pki/pki.go
@@ -29,7 +29,7 @@
 const (
 	Viewer   = "viewer"   // may look
 	Operator = "operator" // may look and command
-	Agent    = "agent"    // answers tools
+	Agent    = "agent"    // answers tools; orders what a duty that it owns calls for
 )
 
 const (
@@ -101,7 +101,8 @@
 	c.KeyUsage = x509.KeyUsageDigitalSignature
 	c.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
 	if r.Role == Agent {
-		c.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}
+		// As a client towards other agents, for the council and a duty's orders.
+		c.ExtKeyUsage = append(c.ExtKeyUsage, x509.ExtKeyUsageServerAuth)
 	}
 	for _, host := range r.Hosts {
 		if ip := net.ParseIP(host); ip != nil {
@@ -219,13 +220,13 @@
 }
 
 // Who gives the name and the role of a verified client; no role if its certificate
-// names none that tools have.
+// names none.
 func Who(s *tls.ConnectionState) (name, role string) {
 	if len(s.PeerCertificates) == 0 {
 		return "", ""
 	}
 	subject := s.PeerCertificates[0].Subject
-	if len(subject.OrganizationalUnit) == 1 && slices.Contains([]string{Viewer, Operator}, subject.OrganizationalUnit[0]) {
+	if len(subject.OrganizationalUnit) == 1 && slices.Contains([]string{Viewer, Operator, Agent}, subject.OrganizationalUnit[0]) {
 		role = subject.OrganizationalUnit[0]
 	}
 	return subject.CommonName, role
--- a/internal/fleet/proc/proc.go
+++ b/internal/fleet/proc/proc.go
@@ -182,6 +182,16 @@
 	return fmt.Errorf("%s: %w", path, unix.Exec(path, argv, os.Environ()))
 }
 
+// Latest gives the token of the latest launch into a run file, whether or not the process still runs;
+// "" if there was none that can be told.
+func Latest(runFile string) string {
+	run, err := readRun(runFile)
+	if err != nil {
+		return ""
+	}
+	return run.Token
+}
+
 func readRun(path string) (Run, error) {
 	var r Run
 	f, err := os.Open(path)
--- a/internal/fleet/protocol/protocol.go
+++ b/internal/fleet/protocol/protocol.go
@@ -4,6 +4,7 @@
 //	GET    /v1/agent                              Agent
 //	GET    /v1/instances                          []Instance
 //	GET    /v1/instances/{name}/inspect           control.Inspection
+//	POST   /v1/instances/{name}/kept              control.Keep -> control.Inspection
 //	GET    /v1/commands                           []Command
 //	GET    /v1/commands/{id}                      Command
 //	POST   /v1/commands                           CommandRequest -> Command
@@ -12,6 +13,9 @@
 //	POST   /v1/commands/{id}/run/{instance}       Operation
 //	POST   /v1/commands/{id}/abort                Command
 //	GET    /v1/commands/{id}/run/{instance}       Operation; ?wait=MS waits for its end
+//	POST   /v1/fence                              Fence -> Raised
+//	GET    /v1/recovery                           Recovery
+//	POST   /v1/recovery/{instance}                Decision -> Instance
 //
 // Every answer that is not 2xx holds an Error. Unknown fields are refused.
 package protocol
@@ -20,6 +24,7 @@
 	"fmt"
 	"regexp"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -42,6 +47,80 @@
 	LeaseFor = 10 * time.Second
 )
 
+// Token fences the orders of a duty's owner: each acquisition gets one above all before it.
+// Its upper bits are the epoch, which a recovery of the council raises.
+type Token uint64
+
+// EpochShift is how many bits of a Token are below its epoch.
+const EpochShift = 40
+
+// Epoch gives the token's epoch.
+func (t Token) Epoch() uint64 { return uint64(t) >> EpochShift }
+
+// String writes epoch and number, as in "0.17".
+func (t Token) String() string {
+	return fmt.Sprintf("%d.%d", t.Epoch(), uint64(t)&(1<<EpochShift-1))
+}
+
+// Fence is an order's right to act: the duty and the token of whoever sent it. It stands in
+// a CommandRequest, and in the header FenceHeader of calls that follow it.
+type Fence struct {
+	Duty  string `json:"duty"`
+	Token Token  `json:"token"`
+}
+
+// FenceHeader carries a Fence as text.
+const FenceHeader = "Otterstep-Fence"
+
+// String writes a fence as ReadFence reads it.
+func (f Fence) String() string { return fmt.Sprintf("%s %d", f.Duty, uint64(f.Token)) }
+
+// ReadFence reads one.
+func ReadFence(text string) (*Fence, error) {
+	duty, number, _ := strings.Cut(text, " ")
+	token, err := strconv.ParseUint(number, 10, 64)
+	if err != nil || !Name.MatchString(duty) || token == 0 {
+		return nil, Errorf(CodeUsage, "%s: %.80q is no duty with a token", FenceHeader, text)
+	}
+	return &Fence{duty, Token(token)}, nil
+}
+
+// Raised answers a raised token: what is at the agent, behind it.
+type Raised struct {
+	Instances []Instance `json:"instances"`
+}
+
+// Recovery is what an agent knows of its own memory, and what it holds for that.
+type Recovery struct {
+	Agent     string `json:"agent"`
+	Memory    string `json:"memory"`    // whole, older than its copy, lost or blank
+	Forgetful bool   `json:"forgetful"` // it refuses a duty's orders until the council has answered
+	Council   string `json:"council"`   // none, silent or answered
+	Folder    string `json:"folder"`
+	Starts    uint64 `json:"starts"`
+	Held      []Held `json:"held"`
+}
+
+// Held is an instance that is not started, and why.
+type Held struct {
+	Instance string    `json:"instance"`
+	Since    time.Time `json:"since"`
+	Why      string    `json:"why"`
+	// Until is when it is decided anew by itself; zero: when somebody decides, or answers.
+	Until time.Time `json:"until,omitzero"`
+	Runs  bool      `json:"runs"`
+}
+
+// Recover has one voter go on alone. The cluster's name is the operator's confirmation.
+type Recover struct {
+	Cluster string `json:"cluster"`
+}
+
+// Decision is an operator's word on a held instance.
+type Decision struct {
+	Up bool `json:"up"`
+}
+
 // The kinds of commands.
 const (
 	Start   = "start"
@@ -78,6 +157,8 @@
 	StateGaveUp   = "gave-up"  // it crashed too often: it is left alone until a command starts it
 	StateUnknown  = "unknown"  // its run file is held by a process that can't be told
 	StateStopping = "stopping" // it was told to end
+	StateHeld     = "held"     // nobody knows whether it is to run; otterctl recovery says why
+	StatePaced    = "paced"    // it is started in its turn, as many may come back at once
 )
 
 // Agent describes an agent.
@@ -117,6 +198,9 @@
 	Message    string            `json:"message,omitempty"`
 	Holder     *Holder           `json:"holder,omitempty"`
 	Operation  string            `json:"operation,omitempty"` // under way
+	// Order is the command that a process was started for last, as the run file tells: it outlives
+	// the record.
+	Order string `json:"order,omitempty"`
 }
 
 // Seen is an instance with the generation that a tool saw.
@@ -135,6 +219,10 @@
 	Plan string `json:"plan,omitempty"`
 	// Resume takes up a command of this id that has ended.
 	Resume bool `json:"resume,omitempty"`
+	// Fence is the duty for which an owner orders this, OnBehalf the operator whose job it is.
+	// Agents from before there were duties refuse both as unknown fields.
+	Fence    *Fence `json:"fence,omitempty"`
+	OnBehalf string `json:"on_behalf,omitempty"`
 }
 
 // Command is one command's part at one agent.
@@ -146,6 +234,7 @@
 	Opened     time.Time   `json:"opened"`
 	State      string      `json:"state"`
 	Reason     string      `json:"reason,omitempty"`
+	Fence      *Fence      `json:"fence,omitempty"` // of the latest owner that took it up
 	Instances  []string    `json:"instances"`
 	Operations []Operation `json:"operations"`
 }
@@ -162,6 +251,7 @@
 	Instance   string    `json:"instance"`
 	Operator   string    `json:"operator"`
 	Generation uint64    `json:"generation"`
+	Token      Token     `json:"token,omitempty"` // of the owner that began it or took it over
 	State      string    `json:"state"`
 	Reason     string    `json:"reason,omitempty"`
 	Steps      []Step    `json:"steps"`
@@ -183,8 +273,12 @@
 	CodeForbidden = "forbidden"
 	CodeNotFound  = "not-found"
 	CodeConflict  = "conflict"
-	CodeTooOld    = "too-old" // the command's id is older than what is remembered
-	CodeRecord    = "record"  // nothing can be written down, so nothing is begun
+	CodeTooOld    = "too-old"    // the command's id is older than what is remembered
+	CodeRecord    = "record"     // nothing can be written down, so nothing is begun
+	CodeFenced    = "fenced"     // a newer owner has been here: the order is refused
+	CodeNoCouncil = "no-council" // there is none, or it has no leader that can be reached
+	CodeOff       = "off"        // the agent's file has no [council]
+	CodeForgetful = "forgetful"  // the agent has lost its memory and carries nothing out yet
 	CodeFailed    = "failed"
 )
 
@@ -194,6 +288,7 @@
 	Text     string  `json:"text"`
 	Instance string  `json:"instance,omitempty"`
 	Holder   *Holder `json:"holder,omitempty"` // CodeConflict: who holds the instance
+	Leader   string  `json:"leader,omitempty"` // CodeNoCouncil: the agent that leads, if it is known
 }
 
 func (e *Error) Error() string { return e.Text }
@@ -205,11 +300,11 @@
 		return 400
 	case CodeForbidden:
 		return 403
-	case CodeNotFound:
+	case CodeNotFound, CodeOff:
 		return 404
-	case CodeConflict, CodeTooOld:
+	case CodeConflict, CodeTooOld, CodeFenced:
 		return 409
-	case CodeRecord:
+	case CodeRecord, CodeNoCouncil, CodeForgetful:
 		return 503
 	}
 	return 500
@@ -241,5 +336,8 @@
 	return time.UnixMilli(ms), nil
 }
 
+// Operator is the form of an operator's name, as certificates and users of a machine have it.
+var Operator = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._@:-]{0,127}$`)
+
 // Name is the form of an agent's, instance's or group's name.
 var Name = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -180,6 +180,25 @@
 	return l, Found{Aside: aside, Why: why.Error()}, l.Rewrite(nil)
 }
 
+// Read hands on the entries of the file at path, without its header, and changes nothing. A
+// torn last line is passed over, damage before it an error.
+func Read(fsys FS, path string, read func(json.RawMessage) error) error {
+	text, err := fsys.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("record: %w", err)
+	}
+	_, err = scan(text, func(line int, entry json.RawMessage) error {
+		if line == 1 {
+			return nil
+		}
+		return read(entry)
+	})
+	if err != nil {
+		return fmt.Errorf("record %s: %w", path, err)
+	}
+	return nil
+}
+
 // headLen is what stands before an entry on its line.
 const headLen = 18
 
@@ -296,29 +315,51 @@
 		}
 		head = append(head, line...)
 	}
-	fresh := l.path + ".new"
-	f, err := l.fs.Create(fresh)
+	f, err := replace(l.fs, l.path, head)
 	if err != nil {
-		return fmt.Errorf("record: %w", err)
+		return err
+	}
+	if l.file != nil {
+		l.file.Close()
 	}
-	_, err = f.Write(head)
+	l.file, l.size, l.err = f, int64(len(head)), nil
+	if err := l.fs.SyncDir(filepath.Dir(l.path)); err != nil {
+		l.fail(err) // the name may still lead to the old file after a power cut
+		return fmt.Errorf("record %s: %w", l.path, err)
+	}
+	return nil
+}
+
+// replace writes a text in a file's place, and gives the file, open at its end. Until the new
+// one is whole on the disk the old one stands; the caller makes the name last by SyncDir.
+func replace(fsys FS, path string, text []byte) (File, error) {
+	fresh := path + ".new"
+	f, err := fsys.Create(fresh)
+	if err != nil {
+		return nil, fmt.Errorf("record: %w", err)
+	}
+	_, err = f.Write(text)
 	if err == nil {
 		err = f.Sync()
 	}
 	if err == nil {
-		err = l.fs.Rename(fresh, l.path)
+		err = fsys.Rename(fresh, path)
 	}
 	if err != nil {
 		f.Close()
-		return fmt.Errorf("record %s: %w", l.path, err)
+		return nil, fmt.Errorf("record %s: %w", path, err)
 	}
-	if l.file != nil {
-		l.file.Close()
+	return f, nil
+}
+
+// Replace writes a whole file that has to last, of any form, in the place of what was there.
+func Replace(fsys FS, path string, text []byte) error {
+	f, err := replace(fsys, path, text)
+	if err != nil {
+		return err
 	}
-	l.file, l.size, l.err = f, int64(len(head)), nil
-	if err := l.fs.SyncDir(filepath.Dir(l.path)); err != nil {
-		l.fail(err) // the name may still lead to the old file after a power cut
-		return fmt.Errorf("record %s: %w", l.path, err)
+	if err := errors.Join(f.Close(), fsys.SyncDir(filepath.Dir(path))); err != nil {
+		return fmt.Errorf("record %s: %w", path, err)
 	}
 	return nil
 }
--- a/internal/fleet/rollout/rollout.go
+++ b/internal/fleet/rollout/rollout.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"otterstep/internal/fleet/duty"
 )
 
 const (
@@ -20,15 +22,35 @@
 	stallMost = 30 * time.Second
 )
 
+// Standing is what an instance is to a plan.
+type Standing int
+
+// The standings.
+const (
+	Serves Standing = iota
+	// Away does not serve. It counts, and costs the group nothing more; but it may come up by itself
+	// while an order to it is on its way, so that no more of these are worked on at once than may
+	// be away.
+	Away
+	Begun // an order of before may be at work on it: it counts, and to look after it costs nothing
+	Taken // it counts as away, and is not to be touched: somebody else works on it, or nothing is known of it
+	Out   // it is meant to be down: it neither counts nor is touched
+)
+
 // Options say how a group is restarted.
 type Options struct {
 	Instances      []string      // in this order
+	Group          []string      // whose absence counts; Instances if nil
 	MaxUnavailable int           // of the group at once, for whatever reason; at least 1
 	Pause          time.Duration // between an instance's return and the next one's turn
+	// Patient plans wait for others to come back as long as it takes, instead of stopping.
+	Patient bool
+	// Ending plans only bring to an end what was begun before: nothing stops them.
+	Ending bool
 }
 
 // Counts are answers of a group in some stretch of time.
-type Counts struct{ Served, Refused, Failed int64 }
+type Counts = duty.Answers
 
 // Plan is a rollout under way. Make it with New.
 type Plan struct {
@@ -41,6 +63,7 @@
 	stalled time.Time // since when none could be started, zero if one could
 	before  Counts
 	stopped string
+	waits   string
 }
 
 // New begins a plan. before counts the group's answers while nothing was restarted.
@@ -48,46 +71,85 @@
 	if opt.MaxUnavailable < 1 {
 		return nil, fmt.Errorf("rollout: at most %d unavailable: nothing could ever be restarted", opt.MaxUnavailable)
 	}
+	if opt.Group == nil {
+		opt.Group = opt.Instances
+	}
 	return &Plan{opt: opt, waiting: slices.Clone(opt.Instances), before: before}, nil
 }
 
-// Next gives the instances whose turn it is now. available tells whether an
-// instance serves. Each one given counts as working until Ended.
-func (p *Plan) Next(now time.Time, available func(name string) bool) []string {
+// Next gives the instances whose turn it is now. look tells how an instance of the group
+// stands. Each one given counts as working until Ended or Withdrawn.
+func (p *Plan) Next(now time.Time, look func(name string) Standing) []string {
+	p.waits = ""
 	if p.stopped != "" {
 		return nil
 	}
-	away := len(p.working)
-	for _, name := range p.opt.Instances {
-		if !available(name) && !slices.Contains(p.working, name) {
+	away, worked := len(p.working), len(p.working)
+	for _, name := range p.opt.Group {
+		if slices.Contains(p.working, name) {
+			continue
+		}
+		switch look(name) {
+		case Away:
+			away++
+		case Begun, Taken:
 			away++
+			worked++
 		}
 	}
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	if !p.ended.IsZero() && now.Sub(p.ended) < p.opt.Pause {
+		p.waits = "for its pause"
+		return nil
+	}
 	var turn []string
-	if len(p.waiting) > 0 && (p.ended.IsZero() || now.Sub(p.ended) >= p.opt.Pause) {
-		p.waiting = slices.DeleteFunc(p.waiting, func(name string) bool {
-			// One that is away already costs the group nothing more.
-			costs := 1
-			if !available(name) {
-				costs = 0
+	p.waiting = slices.DeleteFunc(p.waiting, func(name string) bool {
+		switch look(name) {
+		case Serves:
+			if away >= p.opt.MaxUnavailable {
+				return false
 			}
-			if costs > 0 && away+costs > p.opt.MaxUnavailable {
+			away++
+			worked++
+		case Away:
+			if worked >= p.opt.MaxUnavailable {
 				return false
 			}
-			away += costs
-			turn = append(turn, name)
-			return true
-		})
-		p.working = append(p.working, turn...)
-		p.stall(now, away)
+			worked++
+		case Taken, Out:
+			return false
+		}
+		turn = append(turn, name)
+		return true
+	})
+	p.working = append(p.working, turn...)
+	if len(turn) == 0 && len(p.waiting) > 0 {
+		p.waits = fmt.Sprintf("%d of %d are away, and at most %d may be", away, len(p.opt.Group), p.opt.MaxUnavailable)
 	}
+	p.stall(now, away)
 	return turn
 }
 
+// Regroup sets whose absence counts from now on.
+func (p *Plan) Regroup(group []string) { p.opt.Group = group }
+
+// Waits says why nothing was given by the latest Next, "" if something was or nothing is left.
+func (p *Plan) Waits() string { return p.waits }
+
+// Withdrawn notes that a working instance was not touched: its turn comes again.
+func (p *Plan) Withdrawn(name string) {
+	if i := slices.Index(p.working, name); i >= 0 {
+		p.working = slices.Delete(p.working, i, i+1)
+		p.waiting = append(p.waiting, name)
+	}
+}
+
 // stall stops a plan that waits in vain.
 func (p *Plan) stall(now time.Time, away int) {
 	switch {
-	case len(p.working) > 0 || len(p.waiting) == 0:
+	case p.opt.Patient || len(p.working) > 0 || len(p.waiting) == 0:
 		p.stalled = time.Time{}
 	case p.stalled.IsZero():
 		p.stalled = now
@@ -98,7 +160,8 @@
 
 // Ended notes that a working instance came back, or did not.
 func (p *Plan) Ended(now time.Time, name string, err error) {
-	p.working = slices.DeleteFunc(p.working, func(n string) bool { return n == name })
+	is := func(n string) bool { return n == name }
+	p.working, p.waiting = slices.DeleteFunc(p.working, is), slices.DeleteFunc(p.waiting, is)
 	p.ended = now
 	if err == nil {
 		p.done = append(p.done, name)
@@ -134,7 +197,7 @@
 
 // stop keeps the first reason.
 func (p *Plan) stop(format string, args ...any) {
-	if p.stopped == "" {
+	if p.stopped == "" && !p.opt.Ending {
 		p.stopped = fmt.Sprintf(format, args...)
 	}
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -105,6 +106,10 @@
 
 // The knee of a target that serves 300 a second is found within its bounds.
 func TestKnee(t *testing.T) {
+	synctest.Test(t, testKnee) // a busy machine makes a generator of real time lag
+}
+
+func testKnee(t *testing.T) {
 	next := atomic.Int64{}
 	began := time.Now()
 	queue := target(func(uint64) (time.Duration, Outcome) { // one server, 3.33 ms each, in turn
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -46,6 +46,8 @@
 	model string
 	// listed is told of all lines as they came, ahead of members; nil if nobody cares.
 	listed func(all bool, targets []target)
+	// heard is told of each answer once it is in place; nil if nobody cares.
+	heard func(rev int64)
 	// first is called once the first list is in place, or the first call has
 	// failed and the known list has to do.
 	first func()
@@ -58,6 +60,7 @@
 	current bool // rev is discovery's own
 	older   int  // answers in a row with a version from before rev
 	known   bool // there is a list of before, which serves until the first call
+	doubted bool // what is handed on is of before, and nobody has confirmed it
 }
 
 func newDiscovery(addr string, site wire.Site, c core.Clock, log *slog.Logger) *discovery {
@@ -218,9 +221,21 @@
 	if list.All || len(list.Targets) > 0 || d.asked {
 		d.hand(kind, list.Targets)
 	}
+	if d.heard != nil {
+		d.heard(d.rev)
+	}
 	return nil
 }
 
+// recall takes the list that this node kept. Whether discovery has begun anew since is not known, so that
+// nothing but the whole list confirms it.
+func (d *discovery) recall(targets []target) {
+	d.known = true
+	d.doubted = true
+	d.hand(policy.ListCached, targets)
+	d.doubted = false
+}
+
 // begin takes the list of before, which may be old. Where discovery is asked, the first call is for what
 // is newer: it costs the one service less than the whole list, and more than one call a start.
 func (d *discovery) begin(known hostList) {
@@ -259,7 +274,7 @@
 	for i, t := range targets {
 		entries[i] = policy.Entry{
 			Server: serverID(t.UID), Zone: slices.Index(d.zones, t.AZ), Cell: t.PodGroup, Kind: slices.Index(d.kinds, t.Model),
-			State: state(t.State), Weight: max(0, t.CapacityHint), Started: d.clock.FromUnixMs(t.BootMs),
+			State: state(t.State), Weight: max(0, t.CapacityHint), Started: d.clock.FromUnixMs(t.BootMs), Doubted: d.doubted,
 		}
 		endpoints[i] = t.Endpoint
 		if kind == policy.ListDelta {
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -14,6 +14,7 @@
 	"otterstep/internal/core"
 	"otterstep/internal/life"
 	"otterstep/internal/passing"
+	"otterstep/internal/web/classify"
 	"otterstep/internal/wire"
 	"otterstep/policy"
 )
@@ -223,6 +224,14 @@
 	if first != class || !strings.HasPrefix(r.RequestURI, "/"+class) {
 		return q, nil, badRequest("path %q is not of class %q", r.URL.Path, class)
 	}
+	if strings.Contains(rest, ".") { // escaped or not: the path is decoded
+		for segment := range strings.SplitSeq(rest, "/") {
+			if classify.Dots(segment) {
+				// A server that resolves it would take the request for one of another class.
+				return q, nil, badRequest("path %.60q: a segment %.20q, which leads out of its class", r.URL.Path, segment)
+			}
+		}
+	}
 	q.Key = key(rest)
 	left, err := number("X-Time-Left", timeLeft, time.Second)
 	if err != nil {
--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -26,6 +26,8 @@
 	clients *clients
 	sip     *sip.Front // nil where it is off
 	webs    *web.Fronts
+	comes   *returning // nil where nothing is kept
+	state   func() life.State
 	started time.Time
 
 	mu        sync.Mutex
@@ -46,13 +48,21 @@
 }
 
 func (i *inspector) serve(ctx context.Context, path string, state func() life.State, log *slog.Logger) error {
-	return control.Serve(ctx, path, func(ctx context.Context) (control.Inspection, error) {
-		return i.inspect(ctx, state().String())
-	}, log)
+	i.state = state
+	return control.Serve(ctx, path, i, log)
 }
 
-// inspect puts together what the loop and the other parts know.
-func (i *inspector) inspect(ctx context.Context, state string) (control.Inspection, error) {
+// Keep implements control.Node.
+func (i *inspector) Keep(k control.Keep) error {
+	if i.comes == nil {
+		return control.ErrNothingKept
+	}
+	return i.comes.keep(k)
+}
+
+// Inspect implements control.Node: it puts together what the loop and the other parts know.
+func (i *inspector) Inspect(ctx context.Context) (control.Inspection, error) {
+	state := i.state().String()
 	view, err := i.loop.Inspect(ctx)
 	if err != nil {
 		return control.Inspection{}, err
@@ -64,6 +74,9 @@
 		Memory:      memory(i.cfg.MemoryMB), Servers: serversOf(view, i.loop.Clock()),
 		Counts: countsOf(view, func(class int) string { return i.cfg.Site.Classes[class] }),
 	}
+	if i.comes != nil {
+		a.Return = i.comes.inspect()
+	}
 	if i.sip != nil {
 		if a.SIP, err = i.inspectSIP(ctx); err != nil {
 			return control.Inspection{}, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,6 +114,12 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	ops := newOperations(&state, l, log)
+	var comes *returning // nil where nothing is kept
+	if op.Kept.File != "" {
+		comes = newReturning(op.Kept.File, op.Kept.Every.Duration, cfg.Name, l, ops, disco, log)
+		defer comes.close()
+		disco.listed = comes.listed
+	}
 	if cfg.Operator != "" {
 		entrance, err := net.Listen("tcp", cfg.Operator)
 		if err != nil {
@@ -121,6 +127,12 @@
 		}
 		log.Info("operators' door", "listen", entrance.Addr().String())
 		disco.listed = ops.listed
+		if comes != nil {
+			disco.listed = func(all bool, targets []target) {
+				ops.listed(all, targets)
+				comes.listed(all, targets)
+			}
+		}
 		answered := make(chan struct{})
 		d := door.New(entrance, ops, log)
 		go func() {
@@ -163,10 +175,13 @@
 		log.Info("ready", "node", cfg.Name, "listen", listener.Addr().String())
 	}
 	go func() {
-		disco.begin(cfg.Known)
+		if comes == nil || !comes.begin(background, cfg.Known) {
+			disco.begin(cfg.Known)
+		}
 		disco.run(background)
 	}()
 	watcher := newInspector(cfg, listener.Addr().String(), l, clients, calls, webs)
+	watcher.comes = comes
 	go reloads.follow(background, cfg, func(addr string) { disco.move(background, addr) }, watcher.reloaded, log)
 	go func() {
 		for every := time.Tick(time.Second); background.Err() == nil; <-every {
@@ -242,6 +257,9 @@
 		return fmt.Errorf("shut down: %w", err)
 	}
 	server.Close()
+	if comes != nil {
+		comes.end(background)
+	}
 	<-callsDone
 	<-websDone
 	log.Info("stopped")
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -250,20 +250,24 @@
 		spoil func(r *http.Request)
 		code  int
 	}{
-		"unknown class":   {"read", func(r *http.Request) { r.Header.Set("X-Service-Class", "nope") }, 400},
-		"unknown account": {"read", func(r *http.Request) { r.Header.Set("X-Account", "nobody") }, 400},
-		"no id":           {"read", func(r *http.Request) { r.Header.Del("X-Correlation-Id") }, 400},
-		"two ids":         {"read", func(r *http.Request) { r.Header.Add("X-Correlation-Id", "b") }, 400},
-		"other path":      {"read", func(r *http.Request) { r.URL.Path, r.URL.RawPath = "/book/1", "" }, 400},
-		"no time":         {"read", func(r *http.Request) { r.Header.Del("X-Time-Left") }, 400},
-		"negative time":   {"read", func(r *http.Request) { r.Header.Set("X-Time-Left", "-1") }, 400},
-		"time no number":  {"read", func(r *http.Request) { r.Header.Set("X-Time-Left", "NaN") }, 400},
-		"endless time":    {"read", func(r *http.Request) { r.Header.Set("X-Time-Left", "99999999999999999999999") }, 400},
-		"body of a GET":   {"read", func(r *http.Request) { r.Body, r.ContentLength = io.NopCloser(strings.NewReader("x")), 1 }, 400},
-		"hint no number":  {"read", func(r *http.Request) { r.Header.Set("X-Weight-Hint", "x") }, 400},
-		"wrong method":    {"book", func(r *http.Request) { r.Method = http.MethodPut }, 405},
-		"no key":          {"push", func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400},
-		"unsafe with key": {"book", func(r *http.Request) { r.Header.Set("Idempotency-Key", "k") }, 400},
+		"unknown class":    {"read", func(r *http.Request) { r.Header.Set("X-Service-Class", "nope") }, 400},
+		"unknown account":  {"read", func(r *http.Request) { r.Header.Set("X-Account", "nobody") }, 400},
+		"no id":            {"read", func(r *http.Request) { r.Header.Del("X-Correlation-Id") }, 400},
+		"two ids":          {"read", func(r *http.Request) { r.Header.Add("X-Correlation-Id", "b") }, 400},
+		"other path":       {"read", func(r *http.Request) { r.URL.Path, r.URL.RawPath = "/book/1", "" }, 400},
+		"out of its class": {"read", func(r *http.Request) { r.URL.Path, r.URL.RawPath = "/read/../book/1", "/read/../book/1" }, 400},
+		"escaped":          {"read", func(r *http.Request) { r.URL.Path, r.URL.RawPath = "/read/../book/1", "/read/%2e%2E/book/1" }, 400},
+		"with parameters":  {"read", func(r *http.Request) { r.URL.Path, r.URL.RawPath = "/read/..;a=b/1", "/read/..;a=b/1" }, 400},
+		"dot as the key":   {"read", func(r *http.Request) { r.URL.Path, r.URL.RawPath = "/read/.", "/read/." }, 400},
+		"no time":          {"read", func(r *http.Request) { r.Header.Del("X-Time-Left") }, 400},
+		"negative time":    {"read", func(r *http.Request) { r.Header.Set("X-Time-Left", "-1") }, 400},
+		"time no number":   {"read", func(r *http.Request) { r.Header.Set("X-Time-Left", "NaN") }, 400},
+		"endless time":     {"read", func(r *http.Request) { r.Header.Set("X-Time-Left", "99999999999999999999999") }, 400},
+		"body of a GET":    {"read", func(r *http.Request) { r.Body, r.ContentLength = io.NopCloser(strings.NewReader("x")), 1 }, 400},
+		"hint no number":   {"read", func(r *http.Request) { r.Header.Set("X-Weight-Hint", "x") }, 400},
+		"wrong method":     {"book", func(r *http.Request) { r.Method = http.MethodPut }, 405},
+		"no key":           {"push", func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400},
+		"unsafe with key":  {"book", func(r *http.Request) { r.Header.Set("Idempotency-Key", "k") }, 400},
 		"body too long": {"book", func(r *http.Request) {
 			r.Body, r.ContentLength = io.NopCloser(strings.NewReader("a")), mostBody+1
 			r.Header.Set("Expect", "100-continue") // no byte of it is sent
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -25,6 +25,7 @@
 	// operators said for a later one. Both are nil elsewhere.
 	passOn func(context.Context, handover.Message) error
 	keep   func()
+	save   func() // likewise on the node's own disk, where it keeps something there
 
 	mu   sync.Mutex // held over a call's effect: calls take effect in one order
 	hand *cordon.Set
@@ -60,6 +61,9 @@
 	if o.keep != nil {
 		o.keep()
 	}
+	if o.save != nil {
+		o.save()
+	}
 	if o.passOn == nil {
 		return nil
 	}
--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -153,6 +153,9 @@
 	case m.Entry != nil:
 		s.ops.merge(nil, []cordon.Entry{*m.Entry})
 		s.keep()
+		if s.ops.save != nil { // the one of both processes that owns the file writes it
+			s.ops.save()
+		}
 	case m.Drained != nil:
 		s.ops.life.Merge(time.Now(), *m.Drained)
 		s.keep()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -4,6 +4,7 @@
 
 import (
 	"path/filepath"
+	"time"
 
 	"otterstep/internal/sip"
 	"otterstep/internal/tomlfile"
@@ -11,6 +12,9 @@
 	"otterstep/internal/web"
 )
 
+// KeptEvery is how old what a node keeps may become, unless the file says otherwise.
+const KeptEvery = 30 * time.Second
+
 // File is the operator's file; its zero value is a node with everything off.
 type File struct {
 	Control struct {
@@ -22,6 +26,12 @@
 		// clients that follow it go elsewhere before connections end.
 		TellUp bool `toml:"tell_up"`
 	} `toml:"drain"`
+	Kept struct {
+		// File is the path, without its endings, of what the node keeps for its way back; "" for nothing.
+		File string `toml:"file"`
+		// Every is how old it may become while nothing changes.
+		Every tomlfile.Duration `toml:"every"`
+	} `toml:"kept"`
 	// SIP is the front for calls, off without a listener.
 	SIP sip.Config `toml:"sip"`
 	// Web are the fronts for ordinary HTTP, none if the file has none.
@@ -46,6 +56,16 @@
 			f.Bad("control.socket", "%d bytes long, a socket's path holds at most %d", len(s), unixsock.PathMost)
 		}
 	}
+	switch k := &file.Kept; {
+	case k.File != "" && !filepath.IsAbs(k.File):
+		f.Bad("kept.file", "%q is no absolute path", k.File)
+	case k.File == "" && k.Every.Duration != 0:
+		f.Bad("kept.every", "nothing is kept without kept.file")
+	case k.File != "" && k.Every.Duration == 0:
+		k.Every.Duration = KeptEvery
+	case k.File != "" && k.Every.Duration < time.Second:
+		f.Bad("kept.every", "%v would wear the disk out, 1s is the least", k.Every.Duration)
+	}
 	file.SIP.Check(f)
 	web.CheckAll(f, file.Web)
 	if err := f.Err(); err != nil {
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/standin/racing"
 	"otterstep/policy"
 )
 
@@ -31,6 +32,7 @@
 // to them: after a start of all at once and after all watches have broken at one moment, every node listens again
 // within 15 s, no tenth of a second sees more than an eighth of the nodes call, and few calls are turned away.
 func TestManyNodesCallDiscoveryApart(t *testing.T) {
+	racing.Skip(t)
 	for name, faults := range map[string][]Fault{
 		"start":         nil,
 		"broken":        {{At: 5 * time.Second, For: 10 * time.Millisecond, What: "discovery"}},
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"otterstep/internal/confidence"
 	"otterstep/internal/core"
 	"otterstep/policy"
 )
@@ -17,19 +18,27 @@
 	Loss    float64
 }
 
+// keepsFrom is how long a node has to have run before it keeps anything, as internal/node has it.
+const keepsFrom = 5 * time.Second
+
 // node is one balancer in virtual time.
 type node struct {
-	world   *World
-	index   int
-	decides balancer
-	rng     *rand.Rand
-	wake    time.Duration // an event is due then; 0 for none
-	drained map[policy.ServerID]time.Duration
-	cut     map[*Server]bool // nothing gets from here to there
-	open    map[*try]bool
-	down    bool
-	watches bool // where discovery must be asked: changes come
-	life    int
+	world    *World
+	index    int
+	decides  balancer
+	rng      *rand.Rand
+	wake     time.Duration // an event is due then; 0 for none
+	drained  map[policy.ServerID]time.Duration
+	cut      map[*Server]bool // nothing gets from here to there
+	open     map[*try]bool
+	down     bool
+	watches  bool // where discovery must be asked: changes come
+	doubts   bool // what it was told last was its own
+	heard    bool // discovery, since the start
+	began    time.Duration
+	learnt   *policy.Memory // what it has kept, as of learntAt
+	learntAt time.Duration
+	life     int
 }
 
 func newNode(w *World, index int) (*node, error) {
@@ -40,7 +49,7 @@
 // start makes the node's balancer anew, as a process that knows nothing.
 func (n *node) start() error {
 	b, err := newBalancer(n.world, n.world.opt.Policy, n.index%n.world.zones, n.rng)
-	n.decides, n.wake, n.down, n.watches = b, 0, false, false
+	n.decides, n.wake, n.down, n.watches, n.heard, n.began = b, 0, false, false, false, n.world.engine.Now()
 	n.drained, n.open = map[policy.ServerID]time.Duration{}, map[*try]bool{}
 	n.life++
 	return err
@@ -99,6 +108,7 @@
 	entries, addrs := make([]policy.Entry, len(servers)), make([]string, len(servers))
 	for i, s := range servers {
 		e := s.listed
+		e.Doubted = n.doubts && !n.world.opt.Planted.Believe
 		entries[i], addrs[i] = e, s.opt.Addr
 		if e.State == policy.Ready {
 			delete(n.drained, e.Server)
@@ -109,6 +119,7 @@
 	if n.world.opt.Planted.Deaf && kind == policy.ListDelta {
 		return
 	}
+	n.heard = n.heard || kind == policy.ListFull || kind == policy.ListDelta
 	n.decides.members(n.world.engine.Now(), kind, entries, addrs)
 	n.did()
 }
@@ -133,8 +144,44 @@
 	}
 }
 
+// comeBack begins with what was kept, if that is of use, as internal/node does.
+func (n *node) comeBack() {
+	k, now := n.world.opt.Kept, n.world.engine.Now()
+	if k == nil || n.learnt == nil || n.rng.Float64() < k.Spoilt {
+		n.members(policy.ListCached, nil)
+		return
+	}
+	age := confidence.Age{For: now - n.learntAt + k.Older, Sure: true}
+	if confidence.Judge(confidence.Line{}, age, false, nil, nil) != confidence.Unconfirmed {
+		n.members(policy.ListCached, nil)
+		return
+	}
+	n.doubts = true
+	n.members(policy.ListCached, n.world.servers)
+	n.doubts = false
+	m, ok := n.decides.(*ours)
+	if !ok {
+		return
+	}
+	ages := map[policy.ServerID]time.Duration{}
+	for _, s := range n.world.servers {
+		if ages[s.listed.Server] = 0; s.listed.Started > 0 {
+			ages[s.listed.Server] = max(1, now-s.listed.Started)
+		}
+	}
+	if err := m.machine.Recall(now, confidence.Fade(*n.learnt, m.machine.Learnt(now), age, ages)); err != nil {
+		panic(err) // it was a Machine's own
+	}
+	n.did()
+}
+
 // crash ends the node: what it held is gone, its clients see that.
 func (n *node) crash() {
+	settled := n.heard && n.world.engine.Now()-n.began >= keepsFrom
+	if m, ok := n.decides.(*ours); ok && n.world.opt.Kept != nil && settled {
+		mem := m.machine.Learnt(n.world.engine.Now())
+		n.learnt, n.learntAt = &mem, n.world.engine.Now()
+	}
 	n.down = true
 	n.life++
 	lost := make([]*try, 0, len(n.open))
--- /dev/null
+++ b/internal/sim/returns/returns_test.go
@@ -0,0 +1,82 @@
+package returns
+
+import (
+	"testing"
+	"time"
+
+	"otterstep/internal/pace"
+)
+
+func fleet(seed uint64) Options {
+	return Options{
+		Agents: 100, Instances: 300, Loss: Mixed, Changes: 60, Within: time.Second, Service: 5 * time.Millisecond,
+		Council: time.Duration(seed%3) * time.Second, Seed: seed, Limit: 3 * time.Minute,
+	}
+}
+
+// 300 instances under 100 agents, whose machines lose nothing, records, all of their own or get
+// old disks back: nothing that the newest surviving word calls down is started, nothing is held
+// once the council answers, and all that is to be up is. Agents that go by their own record
+// alone are seen to fail.
+func TestNothingStaleInLargeFleets(t *testing.T) {
+	wrong := 0
+	for seed := range uint64(50) {
+		o := fleet(seed)
+		r, err := Play(o)
+		if err != nil || r.Wrong+r.Held+r.Late > 0 || r.All == 0 {
+			t.Fatalf("seed %d: %+v, %v", seed, r, err)
+		}
+		if again, _ := Play(o); again != r {
+			t.Fatalf("seed %d: %+v, and then %+v", seed, r, again)
+		}
+		o.Naive = true
+		if r, err = Play(o); err != nil {
+			t.Fatal(err)
+		}
+		wrong += r.Wrong
+	}
+	if wrong == 0 {
+		t.Error("agents without recovery start nothing wrong")
+	}
+}
+
+// Paced, all agents together stay under the bound in each 100 ms, and fewer start at once than
+// without; discovery that is away keeps nobody from coming back behind it.
+func TestPacedReturn(t *testing.T) {
+	for seed := range uint64(10) {
+		o := fleet(seed)
+		o.Loss, o.Council, o.Away = Nothing, 0, 20*time.Second
+		free, err := Play(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o.Pace = pace.Bound{Parties: o.Agents, Rate: 50, Burst: 20}
+		paced, err := Play(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if bound := 5 + o.Agents; paced.StartsMost > bound || paced.StartsMost*2 > free.StartsMost {
+			t.Errorf("seed %d: %d starts within 100 ms, %d without a pace", seed, paced.StartsMost, free.StartsMost)
+		}
+		if paced.All < o.Away || paced.All > o.Away+10*time.Second || free.All == 0 {
+			t.Errorf("seed %d: back after %v, without a pace %v", seed, paced.All, free.All)
+		}
+	}
+}
+
+// Without a council, what nobody knows is held, and what a copy knows is not.
+func TestReturnWithoutCouncil(t *testing.T) {
+	for loss, holds := range map[string]bool{Nothing: false, Records: false, Memories: true} {
+		o := fleet(1)
+		o.Loss, o.Council = loss, -1
+		r, err := Play(o)
+		if err != nil || r.Wrong > 0 || r.Held > 0 != holds {
+			t.Errorf("%s: %+v, %v", loss, r, err)
+		}
+	}
+	for _, o := range []Options{{}, {Agents: 2, Instances: 1, Loss: Nothing}, {Agents: 1, Instances: 1, Loss: "x"}} {
+		if _, err := Play(o); err == nil {
+			t.Errorf("%+v is taken", o)
+		}
+	}
+}
--- a/internal/sim/server.go
+++ b/internal/sim/server.go
@@ -43,8 +43,10 @@
 	pushed    float64 // work that came while it was cold, decaying
 	pushedAt  time.Duration
 	overSince time.Duration
-	work      time.Duration // done so far, for the report
-	ran       int64
+	// pushedMost is the most that came while it was cold, as a part of what pushes it over.
+	pushedMost float64
+	work       time.Duration // done so far, for the report
+	ran        int64
 }
 
 // job is a request at a server. One of done and broken is called, once, unless the
@@ -156,6 +158,7 @@
 	s.pushedAt = now
 	s.pushed += s.opt.Service[j.class].Mean.Seconds()
 	able := float64(s.opt.Parallel) * share
+	s.pushedMost = max(s.pushedMost, s.pushed/span/(s.opt.Rules.FallMultiple*able))
 	switch {
 	case s.pushed/span <= s.opt.Rules.FallMultiple*able:
 		s.overSince = 0
--- a/internal/sim/server_test.go
+++ b/internal/sim/server_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/standin/racing"
 	"otterstep/policy"
 )
 
@@ -49,6 +50,7 @@
 
 // Waits against the formulas: M/M/1, M/M/c by Erlang C, M/G/1 by Pollaczek and Khinchine.
 func TestWaitsAgainstQueueingTheory(t *testing.T) {
+	racing.Skip(t)
 	const ms = time.Millisecond
 	sigma := 0.6
 	for _, c := range []struct {
@@ -75,6 +77,7 @@
 // that go to the shorter of two queues, the share of servers with i requests or more is
 // r^(2^i - 1).
 func TestPowerOfTwoChoicesAgainstTheSupermarketModel(t *testing.T) {
+	racing.Skip(t)
 	const servers, rate, looks = 500, 0.8, 1500
 	e := NewEngine(time.Hour)
 	l := newLedger(e, []policy.Class{{}})
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -8,6 +8,7 @@
 
 	"otterstep/internal/comeback"
 	"otterstep/internal/ledger"
+	"otterstep/internal/standin/racing"
 	"otterstep/policy"
 )
 
@@ -81,6 +82,7 @@
 
 // In each trouble the rules hold, each request ends, and a calm world serves nearly all.
 func TestRulesHoldInEachTrouble(t *testing.T) {
+	racing.Skip(t)
 	calm := run(t, small(nil), 1)
 	if calm.Share() < 0.99 || calm.Open != 0 || len(calm.Broken) > 0 {
 		t.Errorf("calm: %.3f within the aim, %d open, broken %v: %s", calm.Share(), calm.Open, calm.Broken, calm.First)
@@ -152,6 +154,7 @@
 // Where discovery must be asked: nodes watch it, hear of changes, and serve on while it is
 // away or says nothing new; calls that would wait too long are turned away and made again.
 func TestAskedDiscovery(t *testing.T) {
+	racing.Skip(t)
 	asked := func(change func(*Options)) *Results {
 		return run(t, small(func(o *Options) {
 			o.Asked, o.Call, o.AskWait = true, 5*time.Millisecond, 2*time.Second
--- a/internal/sip/hard_test.go
+++ b/internal/sip/hard_test.go
@@ -52,15 +52,21 @@
 	for _, transport := range []string{"udp", "tcp"} {
 		for _, provisional := range []int{100, 180} {
 			t.Run(fmt.Sprint(transport, " ", provisional), func(t *testing.T) {
+				told := make(chan struct{}) // a 200 that is there before the 408 went out is passed on, rightly
 				d := open(t, deskOptions{transport: transport, change: soon(300 * time.Millisecond), script: func(c *sipua.Call) {
 					c.Reply(provisional)
 					if c.Cancelled(limit) {
+						select {
+						case <-told:
+						case <-time.After(limit):
+						}
 						c.Reply(200)
 					}
 				}})
 				tx := d.caller.Send(sipua.Request{Method: "INVITE"})
 				began := time.Now()
 				one(t, tx, 408)
+				close(told)
 				if took := time.Since(began); took > limit/2 {
 					t.Errorf("after %v", took)
 				}
--- a/internal/sip/proxy/branch.go
+++ b/internal/sip/proxy/branch.go
@@ -137,7 +137,7 @@
 }
 
 // Abandon is the core's word that it gave an attempt up. A call that may ring is
-// cancelled; what still comes is no final any more.
+// cancelled; a 2xx that still comes is passed on only if the caller has no final yet.
 func (m *Machine) Abandon(now time.Duration, attempt uint64) {
 	if b := m.attempts[attempt]; b != nil {
 		delete(m.attempts, attempt)
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -211,6 +211,9 @@
 // because no node was in: none of them was asked of a node.
 func (c *Clients) Skipped() int { return int(c.skipped.Load()) }
 
+// Begun counts the requests at nodes that were begun so far; the latest has it in the lower half of its id.
+func (c *Clients) Begun() int { return int(c.last.Load()) }
+
 // Report is the generator's account, once Wait has returned; it tells whether it lagged.
 func (c *Clients) Report() load.Report { return c.report }
 
@@ -332,13 +335,13 @@
 // connection.
 func (c *Clients) try(ctx context.Context, n *frontNode, id string, class Class, tenant string, key int, left time.Duration) (Outcome, time.Duration, error) {
 	for again := false; ; again = true {
-		reused, answered := false, false
+		var reused, answered atomic.Bool // the transport's goroutines may go on behind an error
 		trace := httptrace.ClientTrace{
 			GotConn: func(i httptrace.GotConnInfo) {
-				reused = i.Reused
+				reused.Store(i.Reused)
 				i.Conn.(*answers).asked(id)
 			},
-			GotFirstResponseByte: func() { answered = true },
+			GotFirstResponseByte: func() { answered.Store(true) },
 		}
 		r, err := newRequest(httptrace.WithClientTrace(ctx, &trace), n.addr, id, class, tenant, key, left)
 		if err != nil {
@@ -354,7 +357,7 @@
 		switch {
 		case errors.As(err, &op) && op.Op == "dial":
 			return Lost, 0, errNotSent
-		case reused && !answered && !again && ctx.Err() == nil:
+		case reused.Load() && !answered.Load() && !again && ctx.Err() == nil:
 			n.client.CloseIdleConnections() // so that the next one is new
 		default:
 			return Lost, 0, err
--- /dev/null
+++ b/internal/standin/drawn/drawn.go
@@ -0,0 +1,25 @@
+// Package drawn makes property tests draw the same each time, so that one build has one verdict.
+package drawn
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+)
+
+// Main runs a package's tests with rapid's seed fixed; -rapid.seed draws others.
+func Main(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
+		f := flag.Lookup(name)
+		if f == nil || f.Value.String() != f.DefValue {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -23,6 +23,7 @@
 	running map[string]*process
 	last    int
 	starts  map[string]int
+	tokens  map[string]string // of the latest launches, as run files tell
 	twice   []string
 	fails   map[string]error
 	deaf    map[string]bool
@@ -33,7 +34,7 @@
 // NewMachine makes one on which nothing runs.
 func NewMachine() *Machine {
 	return &Machine{
-		running: map[string]*process{}, starts: map[string]int{}, fails: map[string]error{},
+		running: map[string]*process{}, starts: map[string]int{}, tokens: map[string]string{}, fails: map[string]error{},
 		deaf: map[string]bool{}, stuck: map[string]bool{}, counts: map[string]map[string]int64{},
 	}
 }
@@ -157,6 +158,7 @@
 			return err
 		}
 		m.last++
+		m.tokens[i.Name] = token
 		started := &process{machine: m, name: i.Name, token: token, pid: m.last, started: time.Now(), done: make(chan struct{})}
 		m.running[i.Name] = started
 		p, pid = handle{started, r}, started.pid
@@ -168,8 +170,9 @@
 // Adopt implements instance.Runner.
 func (r *Runner) Adopt(i instance.Spec) (p instance.Process, token string, pid int, err error) {
 	err = r.do(func() error {
+		token = r.machine.tokens[i.Name]
 		if running := r.machine.running[i.Name]; running != nil {
-			p, token, pid = handle{running, r}, running.token, running.pid
+			p, pid = handle{running, r}, running.pid
 		}
 		return nil
 	})
@@ -194,6 +197,11 @@
 	return up
 }
 
+// Keep implements instance.Runner: nothing is kept here.
+func (r *Runner) Keep(context.Context, instance.Spec, control.Keep) error {
+	return control.ErrNothingKept
+}
+
 // Inspect implements instance.Runner.
 func (r *Runner) Inspect(_ context.Context, i instance.Spec) (a control.Inspection, err error) {
 	err = r.do(func() error {
--- /dev/null
+++ b/internal/standin/lab/campaign_test.go
@@ -0,0 +1,76 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"otterstep/internal/standin/faults"
+	"otterstep/internal/standin/mutant"
+)
+
+// campaignLab is the fleet that otterlab faults plays schedules on.
+func campaignLab(t *testing.T) Options {
+	o := testOptions("")
+	built(t, &o)
+	o.Dir = t.TempDir()
+	o.Instances, o.Agents, o.Boxes = 6, 3, 2
+	o.Council = &Council{Voters: 3, Lease: time.Second, Orders: true}
+	return o
+}
+
+// Fixed seeds of the campaign: those that once broke something, and some with lost memories.
+func TestCampaign(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		seed   uint64
+		losses bool
+	}{{2148, false}, {6019, true}, {6386, true}} {
+		t.Run(fmt.Sprintf("%d %v", c.seed, c.losses), func(t *testing.T) {
+			t.Parallel()
+			o := campaignLab(t)
+			if c.losses {
+				o.Rate = 0 // a power cut takes requests along
+			}
+			room(t, o.Rate)
+			run, err := PlayFaults(context.Background(), o, c.seed, Campaign{Faults: 12, Most: 1, Losses: c.losses})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(run.Failed) > 0 || run.Effects == 0 && !c.losses {
+				t.Errorf("seed %d: %v\n%s\n%s", c.seed, run, strings.Join(run.Failed, "\n"), run.Schedule)
+			}
+		})
+	}
+}
+
+// A build that starts what it knows nothing of is seen to fail, as soon as a schedule takes the
+// memory of the drained instance's machine in a power cut.
+func TestCampaignSeesWhatIsStartedUnknown(t *testing.T) {
+	bin := changed(t, mutant.Change{
+		File: "internal/fleet/recovery/recovery.go",
+		Old:  "\tcase f.Council == Silent:\n",
+		New:  "\tcase f.Council == Silent:\n\t\treturn Verdict{Do: Follow, Word: Word{Source: \"nobody\", Up: true}}\n",
+	})
+	t.Parallel()
+	c := Campaign{Faults: 12, Most: 1, Losses: true}
+	o := campaignLab(t)
+	o.Rate, o.Agent = 0, []string{bin, "agent"}
+	seed := uint64(1)
+	for !slices.ContainsFunc(faults.Draw(seed, o.Agents, c.Faults, o.Council.Lease, true), func(f faults.Fault) bool {
+		return f.Kind == faults.PowerCut && f.Agent == 2 && f.What == faults.Both
+	}) {
+		seed++
+	}
+	room(t, o.Rate)
+	run, err := PlayFaults(context.Background(), o, seed, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.ContainsFunc(run.Failed, func(s string) bool { return strings.Contains(s, "was drained and started") }) {
+		t.Errorf("seed %d: %v\n%s", seed, run, strings.Join(run.Failed, "\n"))
+	}
+}
--- a/internal/standin/lab/lab.go
+++ b/internal/standin/lab/lab.go
@@ -15,8 +15,10 @@
 
 	"golang.org/x/sys/unix"
 
+	"otterstep/internal/comeback"
 	"otterstep/internal/fleet/group"
 	"otterstep/internal/standin"
+	"otterstep/internal/standin/faults"
 )
 
 // Options size a lab.
@@ -36,12 +38,36 @@
 	Zones     []string // of boxes and instances, in turn; one if there are none
 	// Shape, if set, changes a box's options before it starts.
 	Shape func(i int, o *standin.BoxOptions)
+	// Council, if set, makes the agents a council, each reaching the others through relays.
+	Council *Council
+	// Pace is how many instances all agents together start a second, 0 for no bound; Burst how
+	// many at once.
+	Pace  float64
+	Burst int
+	// Keep has each instance keep what it needs when it comes back with nobody to ask.
+	Keep bool
+	// Doors opens each instance's operators' door.
+	Doors bool
+	// FallMultiple is how many times what a cold box can do pushes it over; 3 if 0.
+	FallMultiple float64
+	Comeback     comeback.Habits // of clients
 	// Site, if set, changes the settings that instances are told.
 	Site func(settings map[string]any)
 	Seed uint64
 	Log  *slog.Logger
 }
 
+// Council says how a lab's agents agree on who owns the fleet's work.
+type Council struct {
+	Voters int // the first agents; 3 or 5
+	Lease  time.Duration
+	// Orders makes each agent follow the orders in a file of its own; see Lab.Order. The
+	// command of an agent gets it as $OTTERLAB_ORDERS.
+	Orders bool
+	// Direct leaves the relays out.
+	Direct bool
+}
+
 // Classes are those of a small booking fleet.
 func Classes() []standin.Class {
 	return []standin.Class{
@@ -78,8 +104,10 @@
 	outlets []*standin.Outlet
 	ports   []port // of the instances
 	spawner *spawner
-	agents  []*process
-	states  []string // folders of the agents
+	agents  []*process // one an agent; nil once it was killed
+	relays  map[[2]string]*faults.Relay
+	states  []string         // folders of the agents
+	lost    map[int][]string // records that an agent has lost, in their order
 	guard   io.Closer
 	stop    context.CancelFunc
 	done    chan struct{} // the front has ended
@@ -122,6 +150,9 @@
 	if opt.Classes == nil {
 		opt.Classes = Classes()
 	}
+	if opt.FallMultiple == 0 {
+		opt.FallMultiple = fallMultiple
+	}
 	if len(opt.Zones) == 0 {
 		opt.Zones = []string{zone}
 	}
@@ -137,7 +168,7 @@
 	for i := range opt.Boxes {
 		box := standin.BoxOptions{
 			UID: fmt.Sprintf("s%d", i+1), Zone: opt.Zones[i%len(opt.Zones)], Cores: 2 + i%2, Speed: 1.5 - 0.5*float64(i%2), Queue: 4,
-			Classes: opt.Classes, ColdFrom: coldFrom, ColdFor: coldFor, FallMultiple: fallMultiple, FallFor: fallFor,
+			Classes: opt.Classes, ColdFrom: coldFrom, ColdFor: coldFor, FallMultiple: opt.FallMultiple, FallFor: fallFor,
 			Seed: opt.Seed + uint64(i),
 		}
 		if opt.Shape != nil {
@@ -159,7 +190,7 @@
 	l.stop, l.done = stop, make(chan struct{})
 	done := l.done
 	if l.opt.Rate > 0 {
-		l.Begin(standin.ClientOptions{Rate: l.opt.Rate, Classes: l.opt.Classes, Tenants: tenants, Keys: 400, Seed: l.opt.Seed, Most: 4096})
+		l.Begin(standin.ClientOptions{Rate: l.opt.Rate, Classes: l.opt.Classes, Tenants: tenants, Keys: 400, Seed: l.opt.Seed, Most: 4096, Comeback: l.opt.Comeback})
 	}
 	go func() {
 		defer close(done)
@@ -234,7 +265,7 @@
 	settings := object{
 		"Accounts": accounts, "Classes": classes, "Balancers": l.opt.Instances, "RegistryMode": mode, "Zones": l.opt.Zones,
 		"Locality": index % len(l.opt.Zones),
-		"Contract": object{"ColdFrom": coldFrom, "ColdMs": ms(coldFor), "FallMultiple": fallMultiple, "FallMs": ms(fallFor), "MustAskInMs": 5000},
+		"Contract": object{"ColdFrom": coldFrom, "ColdMs": ms(coldFor), "FallMultiple": l.opt.FallMultiple, "FallMs": ms(fallFor), "MustAskInMs": 5000},
 		"Limits": object{
 			"MaxAttempts": 4, "SecondCopies": true, "Cancel": true, "RetryAfter": true, "MaxRetryAfterMs": 600,
 			"ConnIdleMs": 15000, "ConnectTimeoutMs": 250,
@@ -275,9 +306,14 @@
 	l.stop()
 	<-l.done
 	for _, a := range l.agents {
-		a.kill()
+		if a != nil {
+			a.kill()
+		}
 	}
 	l.killInstances()
+	for _, r := range l.relays {
+		r.Close()
+	}
 	if l.guard != nil {
 		l.guard.Close()
 	}
--- a/internal/standin/lab/play_test.go
+++ b/internal/standin/lab/play_test.go
@@ -209,6 +209,7 @@
 
 // Faults of a node are seen on sockets as they are in virtual time.
 func TestLedgerSeesACarelessNode(t *testing.T) {
+	t.Parallel()
 	calm, _, _ := strings.Cut(strings.Replace(played, "for = \"7s\"", "for = \"4s\"", 1), "[[fault]]")
 	for name, c := range map[string]struct {
 		text string
@@ -224,7 +225,9 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			opt := testOptions(t.TempDir())
+			room(t, opt.Rate)
 			opt.NodeEnv = map[string]string{"OTTERLAB_ROLE": "careless"}
 			r, err := Play(t.Context(), loadText(t, c.text), opt, 1)
 			if err != nil {
--- /dev/null
+++ b/internal/standin/racing/on.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package racing
+
+const watched = true
--- a/internal/web/classify/path.go
+++ b/internal/web/classify/path.go
@@ -22,9 +22,8 @@
 		if err != nil {
 			return nil, fmt.Errorf("path: %w", err)
 		}
-		name, _, _ := strings.Cut(s, ";")
 		switch {
-		case name == "." || name == ".." || name == "" && s != "":
+		case Dots(s) || strings.HasPrefix(s, ";"):
 			return nil, fmt.Errorf("path: a segment %.20q, which servers resolve in different ways", raw)
 		case strings.ContainsAny(s, "/\\"):
 			return nil, fmt.Errorf("path: a slash or backslash inside segment %.20q", raw)
@@ -41,6 +40,13 @@
 	return all, nil
 }
 
+// Dots tells whether a decoded segment is a dot segment, also one with parameters ("..;x"),
+// which some servers resolve and others don't (RFC 3986, section 5.2.4).
+func Dots(segment string) bool {
+	name, _, _ := strings.Cut(segment, ";")
+	return name == "." || name == ".."
+}
+
 // under tells whether segments begin with a pattern's; "*" stands for any one.
 func under(segments, pattern []string, whole bool) bool {
 	if len(segments) < len(pattern) || whole && len(segments) > len(pattern) {
--- a/policy/api.go
+++ b/policy/api.go
@@ -116,6 +116,9 @@
 	State   State
 	Weight  float64       // rough size, comparable across servers; 0: unknown
 	Started time.Duration // time of its latest start; 0: long past
+	// Doubted is a line from memory that discovery has not confirmed: the server may have started anew
+	// since, and is taken for one that has just done so for as long as that is so.
+	Doubted bool
 }
 
 // ListKind tells how to read a Members event.
--- a/policy/memory.go
+++ b/policy/memory.go
@@ -22,6 +22,7 @@
 	Pressure    float64        `json:"pressure"`
 	Admitted    float64        `json:"admitted"`
 	Demand      float64        `json:"demand"` // work a second
+	Bore        float64        `json:"bore"`   // likewise: the most that was served of late
 	Classes     []ClassMemory  `json:"classes"`
 	Kinds       []KindMemory   `json:"kinds"`
 	Servers     []ServerMemory `json:"servers"`
@@ -77,9 +78,18 @@
 // Pass gives what was learnt to another Balancer, and with it the room that was saved up at cold servers:
 // both have no more than one.
 func (b *Balancer) Pass(now time.Duration) Memory {
+	m := b.Learnt(now)
+	for _, s := range b.ready {
+		s.coldSaved, s.earned = min(s.coldSaved, 0), 0
+	}
+	return m
+}
+
+// Learnt gives what was learnt and changes nothing.
+func (b *Balancer) Learnt(now time.Duration) Memory {
 	m := Memory{
 		Limit: b.limit, LimitKnown: b.limitKnown, Crowded: b.crowded, Crowding: b.crowding, LoneSeen: b.loneSeen, Typical: b.typical,
-		MeanSuccess: b.meanSuccess, MeanLatency: b.meanLatency, Pressure: b.pressure, Admitted: b.admitted, Demand: b.demand.perSecond(now),
+		MeanSuccess: b.meanSuccess, MeanLatency: b.meanLatency, Pressure: b.pressure, Admitted: b.admitted, Demand: b.demand.perSecond(now), Bore: b.bore,
 	}
 	for i := range b.classes {
 		c := &b.classes[i]
@@ -103,7 +113,6 @@
 		if s.good > 0 {
 			sm.Latency = s.latencySum / float64(s.good)
 		}
-		s.coldSaved, s.earned = min(s.coldSaved, 0), 0
 		m.Servers = append(m.Servers, sm)
 	}
 	for key, s := range b.keys {
@@ -121,10 +130,11 @@
 	if err := m.check(len(b.classes)); err != nil {
 		return fmt.Errorf("policy: memory: %w", err)
 	}
+	b.believe(now, m)
 	b.limit, b.limitKnown, b.crowded, b.crowding, b.loneSeen = m.Limit, m.LimitKnown, m.Crowded, m.Crowding, m.LoneSeen
 	b.typical, b.meanSuccess, b.meanLatency = m.Typical, m.MeanSuccess, m.MeanLatency
 	b.pressure, b.admitted, b.pressedAt, b.steered = m.Pressure, m.Admitted, now, now
-	b.demand = meter{now, m.Demand}
+	b.demand, b.bore = meter{now, m.Demand}, m.Bore
 	for i, c := range m.Classes {
 		o := &b.classes[i]
 		o.lone, o.yardstick, o.loneSeen, o.work, o.seen, o.hint, o.hinted = c.Lone, c.Yardstick, c.LoneSeen, c.Work, c.Seen, c.Hint, c.Hinted
@@ -158,7 +168,9 @@
 
 func (s *server) recall(now time.Duration, m ServerMemory) {
 	s.lone, s.loneSeen, s.rate, s.done = m.Lone, m.LoneSeen, meter{now, m.Rate}, meter{now, m.Done}
-	s.coldSaved, s.coldAt, s.earned = m.ColdSaved, now, m.Earned
+	if s.earned = m.Earned; !s.Doubted { // else it is saved up from a random start: nodes that come back together must not be in step
+		s.coldSaved, s.coldAt = m.ColdSaved, now
+	}
 	for range m.Bad {
 		s.record(now, false, 0)
 	}
@@ -187,7 +199,7 @@
 	errs := []error{
 		sound("limit", math.SmallestNonzeroFloat64, m.Limit), sound("limit_known", 0, m.LimitKnown), sound("crowding", lowest, m.Crowding),
 		sound("typical", math.SmallestNonzeroFloat64, m.Typical), sound("mean_success", 0, m.MeanSuccess), sound("mean_latency", 0, m.MeanLatency),
-		sound("pressure", 0, m.Pressure), sound("admitted", admitLeast, m.Admitted), sound("demand", 0, m.Demand),
+		sound("pressure", 0, m.Pressure), sound("admitted", admitLeast, m.Admitted), sound("demand", 0, m.Demand, m.Bore),
 	}
 	if len(m.Classes) != classes {
 		errs = append(errs, fmt.Errorf("classes: %d, there are %d", len(m.Classes), classes))
