--- a/policy/policy.go
+++ b/policy/policy.go
@@ -5,6 +5,7 @@
 // the settings in settings.go.
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -81,7 +82,11 @@
 			b.host.WatchList()
 		}
 	}
+	doubting := b.doubting()
 	b.list(kind, entries)
+	if !doubting && b.doubting() {
+		b.comeBack(now)
+	}
 	b.refreshed = -1
 	b.dispatch(now)
 }
@@ -101,6 +106,9 @@
 func (b *Balancer) coldShare(s *server, now time.Duration) float64 {
 	start := s.lastStart()
 	age := max(0, now-start)
+	if s.Doubted && b.set.Rules.ColdFor > 0 {
+		return b.set.Rules.ColdFrom // it may start anew at any time: only what it serves earns it more
+	}
 	if start <= 0 || age >= b.set.Rules.ColdFor {
 		return 1
 	}
@@ -127,6 +135,9 @@
 	} else if b.warm > 0 {
 		part = min(part, b.warmRate/float64(b.warm))
 	}
+	if b.onTheWay() {
+		part = min(part, b.borne())
+	}
 	if b.weight > 0 && s.Weight > 0 {
 		part *= s.Weight / b.weight
 	}
@@ -135,6 +146,9 @@
 	}
 	rate := part * b.part * b.set.Rules.FallMultiple * share * coldSafety
 	most := max(6*work, rate*b.set.Rules.FallFor.Seconds())
+	if b.onTheWay() && b.thin() { // so that parts of requests that were earned do not wait for good
+		s.earned = max(s.earned, min(s.earned+b.least()*rate/max(part, 1e-9)*(now-s.coldAt).Seconds(), work))
+	}
 	s.coldSaved = max(min(s.coldSaved+rate*(now-s.coldAt).Seconds(), most), -most)
 	s.coldAt = now
 	return s.coldSaved >= work || s.earned >= work
@@ -146,12 +160,15 @@
 // counted as it is known now: while a class's lone latency is still being learnt at cold servers, what was
 // earned by the figure of before would not pay for the next request.
 func (b *Balancer) earn(now time.Duration, r *request, s *server) {
-	if b.thin() || b.coldShare(s, now) >= 1 {
+	if b.thin() && (b.cameBack == 0 || b.scant()) || b.coldShare(s, now) >= 1 {
 		return
 	}
-	work := b.loneLatency(r)
+	work, least := b.loneLatency(r), earnedLeast
+	if b.thin() { // so many nodes must not save up much each
+		least = 1
+	}
 	s.done.add(now, work)
-	most := max(earnedLeast*work, s.done.perSecond(now)*b.set.Rules.FallFor.Seconds()*earnedMost)
+	most := max(least*work, s.done.perSecond(now)*b.set.Rules.FallFor.Seconds()*earnedMost)
 	s.earned = min(s.earned+work*b.part*b.set.Rules.FallMultiple*coldSafety, most)
 }
 
@@ -409,10 +426,10 @@
 		return
 	}
 	b.refresh(now)
-	kept, full := b.held[:0], false
+	kept, full := b.held[:0], math.Inf(1) // work of the smallest that found no room
 	for _, r := range b.held {
 		var s *server
-		if !r.done && !full {
+		if !r.done && b.loneLatency(r) < full {
 			s = b.pick(now, r)
 		}
 		switch {
@@ -425,7 +442,9 @@
 			b.giveUp(now, r)
 		default:
 			kept = append(kept, r)
-			full = full || len(r.attempts) == 0 && !b.passes(r) // no room for any not bound to a group
+			if len(r.attempts) == 0 && !b.passes(r) { // no room for any not bound to a group
+				full = min(full, b.leastThatMay(r))
+			}
 		}
 	}
 	b.held = kept
@@ -449,6 +468,9 @@
 			wait = min(wait, max(0, s.reopenAt-now))
 		}
 	}
+	if b.doubting() {
+		return b.spreadOut(now, wait)
+	}
 	return wait
 }
 
@@ -486,6 +508,8 @@
 	switch o.Status {
 	case OK:
 		s.record(now, true, latency)
+		b.bear(now, b.loneLatency(r))
+		b.prove(now, a, r, o.Latency.Seconds())
 		if b.thin() && latency > jammedAfter {
 			s.fullUntil = now + b.meeting(now, r)
 		}
@@ -582,11 +606,15 @@
 // shed ends the wait of held requests that cannot be in time any more, or lets them wait behind the
 // rest where a late answer still has some worth.
 func (b *Balancer) shed(now time.Duration) {
-	kept, late := b.held[:0], b.late[:0]
+	kept, late, ahead := b.held[:0], b.late[:0], 0.0
 	for _, r := range b.held {
 		switch {
+		case !r.done && b.outOfReach(now, r, ahead, len(kept)):
+			r.held = false
+			b.giveUp(now, r)
 		case r.done || now+b.expected(r) <= r.useful:
 			kept = append(kept, r)
+			ahead += b.loneLatency(r)
 		case r.class.LateWorth > 0 && r.useful < r.end:
 			r.useful = r.end
 			r.worth *= r.class.LateWorth
--- a/policy/state.go
+++ b/policy/state.go
@@ -208,6 +208,12 @@
 	sweeping    bool
 	watchDelay  time.Duration
 	watchSpread time.Duration
+
+	doubted  int // ready servers that nobody has confirmed
+	cameBack time.Duration
+	served   meter   // work
+	bore     float64 // the most of that, of late
+	before   *before // nil: all figures are this Balancer's own
 }
 
 func (s *server) forget(oldest *outcome) {
@@ -300,10 +306,13 @@
 // relist drops those that no longer serve, and finds what follows from the rest.
 func (b *Balancer) relist() {
 	kept := b.ready[:0]
-	b.weight = 0
+	b.weight, b.doubted = 0, 0
 	for _, s := range b.ready {
 		if s.serves() {
 			kept = append(kept, s)
+			if s.Doubted {
+				b.doubted++
+			}
 			b.weight += s.Weight
 		}
 	}
