--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,6 +1,6 @@
 // Package control is a node's control socket: a Unix socket on which the machine's
-// agent asks what the node is doing, and says what becomes of what the node keeps for its way back. It
-// changes nothing of what the node does.
+// agent asks what the node is doing, says what becomes of what the node keeps for its way back, and brings
+// the fleet's word, if the node takes one.
 package control
 
 import (
@@ -20,6 +20,7 @@
 
 	"golang.org/x/net/netutil"
 
+	"otterstep/internal/cordon"
 	"otterstep/internal/unixsock"
 )
 
@@ -31,6 +32,7 @@
 	answerWithin    = 2 * time.Second
 	answerMost      = 4 << 20
 	keepMost        = 4 << 10
+	wordMost        = 1 << 20
 )
 
 // Server is a listed server as the node sees it.
@@ -66,6 +68,7 @@
 	Counts      map[string]map[string]int64 `json:"counts"` // by class and outcome, since the start
 	SIP         *SIP                        `json:"sip,omitempty"`
 	Return      *Return                     `json:"return,omitempty"` // where something is kept
+	Fleet       *Fleet                      `json:"fleet,omitempty"`  // where the fleet's word is taken
 	Web         []Web                       `json:"web,omitempty"`
 }
 
@@ -85,6 +88,32 @@
 	Doubted  int       `json:"doubted"`           // servers in use that discovery has not confirmed
 }
 
+// Word is the fleet's, as the machine's agent has it.
+type Word struct {
+	cordon.Word
+	// Sure tells that the agent has heard just now that nothing later was said.
+	Sure bool `json:"sure"`
+}
+
+// Fleet is what a node knows of the fleet's word, and what operators have said at this node alone.
+type Fleet struct {
+	Version uint64    `json:"version"`
+	Token   uint64    `json:"token"`
+	Since   time.Time `json:"since,omitzero"` // when this version was told to this process
+	Sure    bool      `json:"sure"`
+	Waits   string    `json:"waits,omitempty"` // what the node waits for before it serves
+	Bans    int       `json:"bans"`
+	Listed  int       `json:"listed"`            // servers in the list
+	Missing []string  `json:"missing,omitempty"` // servers that the fleet leaves out and that the list does not name
+	Hand    []string  `json:"by_hand,omitempty"` // servers left out by hand at this node
+}
+
+// Refusals of a word. ErrOldWord is one of a later version or a later owner's that has been here.
+var (
+	ErrOldWord = errors.New("an older word than one that has been here")
+	ErrNoFleet = errors.New("this node takes no word of the fleet: its operator's file has no [fleet]")
+)
+
 // Keep is what is to become of what a node keeps.
 type Keep struct {
 	Do string `json:"do"` // one of the words below
@@ -181,6 +210,9 @@
 	Inspect(ctx context.Context) (Inspection, error)
 	// Keep carries out a Keep whose word is known; it returns once that is on the disk.
 	Keep(k Keep) error
+	// Tell takes the fleet's word in, and returns once it is in force and on the node's disk, if it keeps
+	// anything there.
+	Tell(ctx context.Context, w Word) (Fleet, error)
 }
 
 // Serve answers on the socket at path until ctx ends.
@@ -203,6 +235,37 @@
 			http.Error(w, err.Error(), http.StatusConflict)
 		}
 	})
+	mux.HandleFunc("POST /v1/fleet", func(w http.ResponseWriter, r *http.Request) {
+		var word Word
+		text, err := io.ReadAll(io.LimitReader(r.Body, wordMost+1))
+		if err == nil && len(text) > wordMost {
+			err = fmt.Errorf("over %d bytes", wordMost)
+		}
+		if err == nil {
+			err = json.Unmarshal(text, &word)
+		}
+		if err == nil {
+			err = word.Check()
+		}
+		if err != nil {
+			http.Error(w, "the fleet's word: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+		defer cancel()
+		is, err := node.Tell(ctx, word)
+		switch {
+		case errors.Is(err, ErrOldWord):
+			http.Error(w, err.Error(), http.StatusConflict)
+		case errors.Is(err, ErrNoFleet):
+			http.Error(w, err.Error(), http.StatusNotFound)
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		default:
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(is) // an agent that is gone asks again
+		}
+	})
 	s := &http.Server{
 		Handler: mux, ReadTimeout: answerWithin, WriteTimeout: 2 * answerWithin, MaxHeaderBytes: 4 << 10,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
@@ -310,48 +373,67 @@
 	}}
 }
 
-// TellKept has the node whose control socket is at path do something with what it keeps.
-func TellKept(ctx context.Context, path string, k Keep) error {
-	text, err := json.Marshal(k)
-	if err != nil {
-		return fmt.Errorf("kept: %w", err)
+// call makes a call at the node whose control socket is at path, and gives its answer.
+func call(ctx context.Context, path, method, at string, body any) (status int, answer []byte, err error) {
+	var text []byte
+	if body != nil {
+		if text, err = json.Marshal(body); err != nil {
+			return 0, nil, err
+		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://node/v1/kept", bytes.NewReader(text))
+	req, err := http.NewRequestWithContext(ctx, method, "http://node/v1/"+at, bytes.NewReader(text))
 	if err != nil {
-		return fmt.Errorf("kept: %w", err)
+		return 0, nil, err
 	}
 	resp, err := way(path).RoundTrip(req)
 	if err != nil {
-		return fmt.Errorf("kept: %w", err)
+		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	if said, _ := io.ReadAll(io.LimitReader(resp.Body, keepMost)); resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("kept: the node answered %s: %.200s", resp.Status, bytes.TrimSpace(said))
+	answer, err = io.ReadAll(io.LimitReader(resp.Body, answerMost+1))
+	switch {
+	case err != nil:
+		return 0, nil, err
+	case len(answer) > answerMost:
+		return 0, nil, fmt.Errorf("an answer of over %d bytes", answerMost)
+	case resp.StatusCode != http.StatusOK:
+		return resp.StatusCode, answer, fmt.Errorf("the node answered %s: %.200s", resp.Status, bytes.TrimSpace(answer))
+	}
+	return resp.StatusCode, answer, nil
+}
+
+// TellKept has the node whose control socket is at path do something with what it keeps.
+func TellKept(ctx context.Context, path string, k Keep) error {
+	if _, _, err := call(ctx, path, http.MethodPost, "kept", k); err != nil {
+		return fmt.Errorf("kept: %w", err)
 	}
 	return nil
 }
 
+// Tell brings the fleet's word to the node whose control socket is at path.
+func Tell(ctx context.Context, path string, w Word) (is Fleet, err error) {
+	status, answer, err := call(ctx, path, http.MethodPost, "fleet", w)
+	switch {
+	case status == http.StatusConflict:
+		return is, fmt.Errorf("%w: %w", ErrOldWord, err)
+	case status == http.StatusNotFound:
+		return is, fmt.Errorf("%w: %w", ErrNoFleet, err)
+	case err != nil:
+		return is, fmt.Errorf("the fleet's word: %w", err)
+	}
+	if err := json.Unmarshal(answer, &is); err != nil {
+		return is, fmt.Errorf("the fleet's word: %w", err)
+	}
+	return is, nil
+}
+
 // Inspect asks the node whose control socket is at path.
 func Inspect(ctx context.Context, path string) (Inspection, error) {
 	var i Inspection
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://node/v1/inspect", nil)
-	if err != nil {
-		return i, fmt.Errorf("inspect: %w", err)
-	}
-	resp, err := way(path).RoundTrip(req)
+	_, text, err := call(ctx, path, http.MethodGet, "inspect", nil)
 	if err != nil {
 		return i, fmt.Errorf("inspect: %w", err)
 	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, answerMost+1))
-	switch {
-	case err != nil:
-		return i, fmt.Errorf("inspect: %w", err)
-	case len(text) > answerMost:
-		return i, fmt.Errorf("inspect: an answer of over %d bytes", answerMost)
-	case resp.StatusCode != http.StatusOK:
-		return i, fmt.Errorf("inspect: the node answered %s: %.200s", resp.Status, text)
-	}
 	if err := json.Unmarshal(text, &i); err != nil {
 		return i, fmt.Errorf("inspect: %w", err)
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -14,18 +15,22 @@
 	"testing"
 
 	"go.uber.org/goleak"
+
+	"otterstep/internal/cordon"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// node is one by its two answers.
+// node is one by its answers.
 type node struct {
 	inspect func(context.Context) (Inspection, error)
 	keep    func(Keep) error
+	tell    func(Word) (Fleet, error)
 }
 
 func (n node) Inspect(ctx context.Context) (Inspection, error) { return n.inspect(ctx) }
 func (n node) Keep(k Keep) error                               { return n.keep(k) }
+func (n node) Tell(_ context.Context, w Word) (Fleet, error)   { return n.tell(w) }
 
 func serve(t *testing.T, inspect func(context.Context) (Inspection, error)) string {
 	t.Helper()
@@ -149,3 +154,30 @@
 		t.Errorf("a living process's socket: %v", err)
 	}
 }
+
+// The fleet's word comes whole or not at all, and the node's no keeps its meaning.
+func TestTell(t *testing.T) {
+	var took []Word
+	answer := error(nil)
+	path := serveNode(t, node{tell: func(w Word) (Fleet, error) {
+		took = append(took, w)
+		return Fleet{Version: w.Version, Listed: 3}, answer
+	}})
+	word := Word{cordon.Word{Version: 7, Token: 2, Bans: []cordon.Ban{{ID: "s/1", Reason: "disk", By: "ada"}}}, true}
+	if is, err := Tell(t.Context(), path, word); err != nil || is.Version != 7 || is.Listed != 3 || len(took) != 1 || !reflect.DeepEqual(took[0], word) {
+		t.Errorf("%+v, %v; took %+v", is, err, took)
+	}
+	for _, answer = range []error{ErrOldWord, ErrNoFleet} {
+		if _, err := Tell(t.Context(), path, word); !errors.Is(err, answer) {
+			t.Errorf("%v, want %v", err, answer)
+		}
+	}
+	took, answer = nil, nil
+	many := Word{Word: cordon.Word{Bans: make([]cordon.Ban, cordon.BansMost+1)}}
+	long := Word{Word: cordon.Word{Bans: []cordon.Ban{{ID: "s1", Reason: strings.Repeat("x", wordMost)}}}}
+	for _, bad := range []Word{many, long, {Word: cordon.Word{Bans: []cordon.Ban{{ID: "s1"}, {ID: "s1"}}}}} {
+		if _, err := Tell(t.Context(), path, bad); err == nil || len(took) > 0 {
+			t.Errorf("%d bans: %v, took %d", len(bad.Bans), err, len(took))
+		}
+	}
+}
--- a/internal/cordon/cordon.go
+++ b/internal/cordon/cordon.go
@@ -1,5 +1,5 @@
-// Package cordon keeps which servers the operators have left out by hand. It has no clock
-// and no I/O. Two processes that are one node each keep a Set and tell each other what
+// Package cordon keeps which servers the operators have left out, by hand at this node or by the word of
+// the fleet. It has no clock and no I/O. Two processes that are one node each keep a Set and tell each other what
 // changes; whatever the order, they come to agree on the latest call for each server.
 package cordon
 
@@ -47,6 +47,9 @@
 	order   []string // of gone, the oldest first; some may be listed again
 	entries map[string]Entry
 	stamp   uint64
+
+	word   Word           // the fleet's latest
+	banned map[string]Ban // by id, of word
 }
 
 // New makes an empty one.
@@ -153,8 +156,11 @@
 	})
 }
 
-// Out tells whether a server is left out.
-func (s *Set) Out(id string) bool { return s.entries[id].Out }
+// Out tells whether a server is left out, by hand or by the fleet.
+func (s *Set) Out(id string) bool {
+	_, banned := s.banned[id]
+	return banned || s.entries[id].Out
+}
 
 // Known gives the servers that were listed once and are gone, the latest last.
 func (s *Set) Known() []string { return slices.Clone(s.order) }
--- a/internal/cordon/cordon_test.go
+++ b/internal/cordon/cordon_test.go
@@ -117,3 +117,58 @@
 		}
 	}
 }
+
+// The fleet's word against a plain model, whatever order words come in: what the latest version says holds, no
+// older one and no sender that was followed by another changes anything, and a call by hand is never undone.
+func TestFleetsWord(t *testing.T) {
+	ids := []string{"a", "b", "c"}
+	for seed := range uint64(500) {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		words := []Word{{}}
+		for v := range uint64(6) {
+			w := Word{Version: v + 1, Token: words[v].Token + rng.Uint64N(2)}
+			for _, id := range ids {
+				if rng.IntN(2) == 0 {
+					w.Bans = append(w.Bans, Ban{ID: id, Reason: fmt.Sprint(v)})
+				}
+			}
+			words = append(words, w)
+		}
+		s := New()
+		s.Listed(true, ids)
+		version, token, hand, out := uint64(0), uint64(0), map[string]bool{}, map[string]bool{}
+		for range 40 {
+			if rng.IntN(3) == 0 {
+				id, leave := ids[rng.IntN(3)], rng.IntN(2) == 0
+				if _, _, err := s.Call(at, id, leave); err != nil {
+					t.Fatal(err)
+				}
+				hand[id] = leave
+			} else {
+				w := words[rng.IntN(len(words))]
+				began, ended, err := s.Take(w)
+				if old := w.Version < version || w.Token < token; old != errors.Is(err, ErrOld) {
+					t.Fatalf("seed %d: version %d under %d after %d under %d: %v", seed, w.Version, w.Token, version, token, err)
+				} else if !old {
+					version, token = w.Version, w.Token
+				}
+				for _, id := range began {
+					out[id] = true
+				}
+				for _, id := range ended {
+					out[id] = false
+				}
+			}
+			for _, id := range ids {
+				_, banned := s.Banned(id)
+				says := false
+				for _, b := range words[version].Bans {
+					says = says || b.ID == id
+				}
+				if banned != says || out[id] != says || s.Out(id) != (says || hand[id]) {
+					t.Fatalf("seed %d: %s is banned %v, told %v, out %v; version %d says %v, by hand %v", seed, id, banned, out[id], s.Out(id), version, says, hand[id])
+				}
+			}
+		}
+	}
+}
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -64,6 +64,7 @@
 	guard   *os.File // locked: one agent to a folder
 	refused refusals
 	council *councillor // nil without [council]
+	herald  *herald     // nil without [fleet]
 	steps   func(step, instance string)
 
 	commit sync.Mutex // held while an entry is checked, written and applied
@@ -128,6 +129,9 @@
 			a.close()
 			return nil, err
 		}
+		if cfg.Fleet != nil {
+			a.herald = newHerald(a, a.council.clock)
+		}
 	}
 	return a, nil
 }
@@ -222,6 +226,9 @@
 	if a.council != nil {
 		work.Go(func() { a.council.run(ctx) })
 	}
+	if a.herald != nil {
+		work.Go(func() { a.herald.run(ctx) })
+	}
 	a.log.Info("ready", "agent", a.cfg.Name, "instances", len(a.order))
 	for _, s := range servers {
 		work.Go(func() {
--- a/internal/fleet/agent/config.go
+++ b/internal/fleet/agent/config.go
@@ -71,9 +71,51 @@
 	// Council is the fleet's; nil: this agent knows of none, and nothing of it runs.
 	Council *Council `toml:"council"`
 
+	// Fleet brings this machine's instances to what the council says that the fleet should be; nil: nothing
+	// does. It takes [council].
+	Fleet *Fleet `toml:"fleet"`
+
 	Instance []instance.Spec `toml:"instance"`
 }
 
+// Fleet is the table of a fleet whose desired state is kept by its council.
+type Fleet struct {
+	Programs []Program `toml:"program"`
+}
+
+// Program is a version of the node's program, under the name that the fleet's document has for it.
+type Program struct {
+	Name    string   `toml:"name"`
+	Command []string `toml:"command"` // the program and its arguments
+}
+
+// programsMost bounds the versions of an agent's file.
+const programsMost = 64
+
+// check tells what is wrong with the table.
+func (c *Fleet) check(f *tomlfile.File, cfg *Config) {
+	if cfg.Council == nil {
+		f.Bad("fleet", "there is no [council]: nobody could agree on what the fleet should be")
+	}
+	if len(c.Programs) > programsMost {
+		f.Bad("fleet.program", "%d are given, at most %d can be", len(c.Programs), programsMost)
+	}
+	names := map[string]bool{}
+	for n, p := range c.Programs {
+		key := func(name string) string { return fmt.Sprintf("fleet.program[%d].%s", n+1, name) }
+		switch {
+		case !protocol.Name.MatchString(p.Name):
+			f.Bad(key("name"), "%q is no name", p.Name)
+		case names[p.Name]:
+			f.Bad(key("name"), "%q is given twice", p.Name)
+		}
+		names[p.Name] = true
+		if len(p.Command) == 0 {
+			f.Bad(key("command"), "none given")
+		}
+	}
+}
+
 // Council is the table of a fleet whose work has one owner at a time.
 type Council struct {
 	Cluster string            `toml:"cluster"` // the fleet's id, the same in all its agents' files
@@ -264,6 +306,9 @@
 		}
 		c.Council.check(f, &c)
 	}
+	if c.Fleet != nil {
+		c.Fleet.check(f, &c)
+	}
 	if c.Restart.Limit < 1 {
 		f.Bad("restart.limit", "%d, at least 1 is needed", c.Restart.Limit)
 	}
--- a/internal/fleet/agent/council.go
+++ b/internal/fleet/agent/council.go
@@ -17,6 +17,7 @@
 	"otterstep/internal/boottime"
 	"otterstep/internal/fleet/client"
 	"otterstep/internal/fleet/council"
+	"otterstep/internal/fleet/desired"
 	"otterstep/internal/fleet/duty"
 	"otterstep/internal/fleet/group"
 	"otterstep/internal/fleet/owner"
@@ -116,11 +117,16 @@
 	for _, k := range c.peers {
 		all = append(all, k)
 	}
-	o := owner.New(owner.Options{
+	opt := owner.Options{
 		Name: c.agent.cfg.Name, Lease: c.agent.cfg.Council.Lease.Duration, Clock: c.clock,
 		Council: c, Fleet: group.New(all), Log: c.agent.log, Step: c.agent.steps,
-	})
-	o.Run(ctx)
+	}
+	var owning sync.WaitGroup
+	owning.Go(func() { owner.New(opt).Run(ctx) })
+	if c.agent.cfg.Fleet != nil {
+		owning.Go(func() { owner.NewKeeper(opt).Run(ctx) })
+	}
+	owning.Wait()
 	end()
 	work.Wait()
 }
@@ -283,6 +289,15 @@
 		}
 		return a.raise(f, by.name)
 	})
+	if a.herald != nil {
+		a.fleetCalls(handle)
+	} else {
+		off := func(w http.ResponseWriter, _ *http.Request) {
+			reply(w, nil, protocol.Errorf(protocol.CodeOff, "this agent's file has no [fleet]"))
+		}
+		mux.HandleFunc("/v1/fleet", off)
+		mux.HandleFunc("/v1/fleet/", off)
+	}
 	handle("GET /v1/council/status", pki.Viewer, func(*http.Request, caller) (any, error) {
 		own := c.votes()
 		if own == nil {
@@ -308,6 +323,9 @@
 		if err := by.sign(&k); err != nil {
 			return nil, err
 		}
+		if (k.Change != nil || k.Note != nil) && a.herald == nil {
+			return nil, protocol.Errorf(protocol.CodeOff, "this agent's file has no [fleet]")
+		}
 		if k.Form != duty.Form {
 			return nil, protocol.Errorf(protocol.CodeVersion, "a command of form %d, %s knows form %d: bring tool and agents to one version", k.Form, a.cfg.Name, duty.Form)
 		}
@@ -373,6 +391,64 @@
 	})
 }
 
+// Desired gives what the fleet should be; if no leader can be reached, what is known here or at some voter,
+// marked as possibly old.
+func (c *councillor) Desired(ctx context.Context) (v duty.FleetView, err error) {
+	var old *duty.FleetView
+	keep := func(got duty.FleetView, err error) error {
+		if err == nil && !got.Current {
+			if old == nil || got.State.Document.Version > old.State.Document.Version {
+				old = &got
+			}
+			return protocol.Errorf(protocol.CodeNoCouncil, "%s does not lead", got.From)
+		}
+		v = got
+		return err
+	}
+	err = c.ask(ctx, func(own *council.Council) error { return keep(own.Desired()) },
+		func(ctx context.Context, peer *client.Client) error { return keep(peer.Desired(ctx, true)) })
+	if err == nil {
+		return v, nil
+	}
+	if own := c.votes(); own != nil && old == nil {
+		_ = keep(own.Desired())
+	}
+	if old == nil {
+		return v, err
+	}
+	return *old, nil
+}
+
+// KnownDesired gives what the agent's own voter knows of it, if that is another version than the caller's.
+func (c *councillor) KnownDesired(but desired.Version) *desired.State {
+	return c.votes().KnownDesired(but)
+}
+
+// fleetCalls adds the calls of a fleet whose desired state the council keeps.
+func (a *Agent) fleetCalls(handle func(pattern, role string, f func(r *http.Request, c caller) (any, error))) {
+	handle("GET /v1/fleet", pki.Viewer, func(*http.Request, caller) (any, error) { return a.herald.state(), nil })
+	handle("POST /v1/fleet", pki.Agent, func(r *http.Request, by caller) (any, error) {
+		var o protocol.FleetOrder
+		if err := readLoose(r, &o); err != nil {
+			return nil, err
+		}
+		if by.fence == nil || by.fence.Duty != duty.Fleet {
+			return nil, protocol.Errorf(protocol.CodeUsage, "the fleet's word comes from the owner of the duty %s, with its token in %s", duty.Fleet, protocol.FenceHeader)
+		}
+		return a.herald.order(r.Context(), o, *by.fence)
+	})
+	handle("GET /v1/fleet/desired", pki.Viewer, func(r *http.Request, _ caller) (any, error) {
+		if r.URL.Query().Get("direct") == "" {
+			return a.council.Desired(r.Context())
+		}
+		own := a.council.votes()
+		if own == nil {
+			return nil, protocol.Errorf(protocol.CodeNoCouncil, "%s does not vote", a.cfg.Name)
+		}
+		return own.Desired()
+	})
+}
+
 // sign writes whose word a command is, and refuses what the caller's role may not say. Another
 // agent passes an operator's word on as it was signed there.
 func (c caller) sign(k *duty.Command) error {
@@ -386,6 +462,8 @@
 		by = &k.Voter.By
 	case k.Restore != nil:
 		by = &k.Restore.By
+	case k.Change != nil && k.Change.End == nil:
+		by = &k.Change.By
 	case k.Report != nil && c.role == pki.Agent && c.name != k.Report.Agent:
 		return protocol.Errorf(protocol.CodeForbidden, "%q reports in the name of %q", c.name, k.Report.Agent)
 	case k.Release != nil && k.Release.Forced:
--- a/internal/fleet/agent/recovery.go
+++ b/internal/fleet/agent/recovery.go
@@ -197,7 +197,7 @@
 
 // desires tells whether an entry changes what the copy holds.
 func desires(e book.Entry) bool {
-	return e.Begin != nil || e.Fence != nil || e.Life != nil || e.Hold != nil || e.Learn != nil || e.Open != nil && e.Open.Request.Fence != nil
+	return e.Begin != nil || e.Fence != nil || e.Life != nil || e.Hold != nil || e.Learn != nil || e.Fleet != nil && e.Fleet.Fence != nil || e.Open != nil && e.Open.Request.Fence != nil
 }
 
 // settle clears the instances of which enough is known by now, and says why others wait.
@@ -371,10 +371,14 @@
 	for ctx.Err() == nil {
 		limit, cancel := context.WithTimeout(ctx, tryFor*3)
 		r := a.ownReport()
+		asked := c.clock.Now()
 		answer, err := c.Do(limit, duty.Command{Report: &r})
 		cancel()
 		if err == nil && answer.Told != nil {
 			err = a.told(*answer.Told)
+			if err == nil && a.herald != nil {
+				err = a.herald.learn(answer.Told.Word, nil, asked)
+			}
 		}
 		wait := reportEvery
 		if err != nil || r.Asks {
--- a/internal/fleet/agent/server.go
+++ b/internal/fleet/agent/server.go
@@ -248,8 +248,9 @@
 		off := func(w http.ResponseWriter, _ *http.Request) {
 			reply(w, nil, protocol.Errorf(protocol.CodeOff, "this agent's file has no [council]"))
 		}
-		mux.HandleFunc("/v1/council", off)
-		mux.HandleFunc("/v1/council/", off)
+		for _, path := range []string{"/v1/council", "/v1/council/", "/v1/fleet", "/v1/fleet/"} {
+			mux.HandleFunc(path, off)
+		}
 	}
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		reply(w, nil, protocol.Errorf(protocol.CodeNotFound, "%s %s: no such call", r.Method, r.URL.Path))
--- a/internal/fleet/agent/unit.go
+++ b/internal/fleet/agent/unit.go
@@ -100,6 +100,13 @@
 	u.mu.Unlock()
 }
 
+// tellSoon has the fleet's word brought to the process that has begun.
+func (u *unit) tellSoon() {
+	if h := u.agent.herald; h != nil {
+		h.wake(u.def.Name)
+	}
+}
+
 // gone forgets a process that has ended.
 func (u *unit) gone() {
 	u.process.Release()
@@ -267,6 +274,7 @@
 	u.has(p, token, pid)
 	u.tracker.Started(time.Now())
 	u.show(protocol.StateRunning, "")
+	u.tellSoon()
 	return nil
 }
 
--- a/internal/fleet/book/book.go
+++ b/internal/fleet/book/book.go
@@ -9,9 +9,9 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
+	"otterstep/internal/cordon"
 	"otterstep/internal/fleet/protocol"
 )
 
@@ -24,8 +24,6 @@
 	InstancesMost = 10_000
 	// stepsMost bounds an operation's steps, the latest ones; a resumed one adds to them.
 	stepsMost = 16
-	// wordsMost bounds a reason or a note, in bytes; more is cut off.
-	wordsMost = 200
 	// planMost bounds a command's plan, in bytes; a longer one is refused.
 	planMost = 1 << 10
 	// FencesMost bounds the duties whose tokens are kept.
@@ -46,6 +44,7 @@
 	Life     *Life     `json:"life,omitempty"`
 	Hold     *Hold     `json:"hold,omitempty"`
 	Learn    *Learn    `json:"learn,omitempty"`
+	Fleet    *Fleet    `json:"fleet,omitempty"`
 }
 
 // Life is the start of an agent on a folder.
@@ -79,6 +78,13 @@
 	Generation uint64 `json:"generation"`
 }
 
+// Fleet takes over the fleet's word.
+type Fleet struct {
+	Word cordon.Word `json:"word"`
+	// Fence is that of the owner who brings it; nil if the council itself has told.
+	Fence *protocol.Fence `json:"fence,omitempty"`
+}
+
 // Fence raises a duty's token: orders of lower ones are refused from then on.
 type Fence struct {
 	protocol.Fence
@@ -141,6 +147,7 @@
 	// Fences are the highest tokens seen, by duty.
 	Fences map[string]protocol.Token `json:"fences,omitempty"`
 	Life   Life                      `json:"life,omitzero"`
+	Word   cordon.Word               `json:"word,omitzero"`
 }
 
 // Instance is what is kept of an instance.
@@ -174,6 +181,7 @@
 	horizon   time.Time           // ids from before this are forgotten
 	fences    map[string]protocol.Token
 	life      Life
+	word      cordon.Word // the fleet's latest
 }
 
 // New makes a book for the given instances; one that it reads of later and that is
@@ -310,6 +318,8 @@
 		return c.State != protocol.Open, nil
 	case e.Fence != nil:
 		return b.checkRaise(e.Fence)
+	case e.Fleet != nil:
+		return b.checkFleet(e.Fleet)
 	case e.Step != nil:
 		o := b.operation(e.Step.ID, e.Step.Instance)
 		if o == nil || o.State != protocol.Running {
@@ -374,6 +384,24 @@
 	return f.Token == highest, b.checkFence(f.Fence)
 }
 
+func (b *Book) checkFleet(f *Fleet) (bool, error) {
+	if err := f.Word.Check(); err != nil {
+		return false, protocol.Errorf(protocol.CodeUsage, "the fleet's word: %v", err)
+	}
+	if f.Fence != nil {
+		if _, err := b.checkRaise(&Fence{Fence: *f.Fence}); err != nil {
+			return false, err
+		}
+	}
+	if f.Word.Version < b.word.Version {
+		return false, protocol.Errorf(protocol.CodeConflict, "the fleet's word: version %v, version %v has been here", protocol.Token(f.Word.Version), protocol.Token(b.word.Version))
+	}
+	return f.Word.Version == b.word.Version && (f.Fence == nil || f.Fence.Token == b.fences[f.Fence.Duty]), nil
+}
+
+// Word gives the fleet's latest.
+func (b *Book) Word() cordon.Word { return b.word }
+
 func (b *Book) checkOpen(o *Open) (bool, error) {
 	r := o.Request
 	made, err := protocol.IDTime(r.ID)
@@ -501,7 +529,7 @@
 	case e.Close != nil:
 		if c := b.commands[e.Close.ID]; c != nil {
 			b.release(c)
-			c.State, c.Reason = e.Close.State, clip(e.Close.Reason)
+			c.State, c.Reason = e.Close.State, protocol.Clip(e.Close.Reason)
 			b.forget()
 		}
 	case e.Begin != nil:
@@ -511,15 +539,19 @@
 			if len(o.Steps) == stepsMost {
 				o.Steps = slices.Delete(o.Steps, 0, 1)
 			}
-			o.Steps = append(o.Steps, protocol.Step{Name: e.Step.Name, At: e.At, Note: clip(e.Step.Note)})
+			o.Steps = append(o.Steps, protocol.Step{Name: e.Step.Name, At: e.At, Note: protocol.Clip(e.Step.Note)})
 		}
 	case e.Fence != nil:
 		b.fences[e.Fence.Duty] = max(b.fences[e.Fence.Duty], e.Fence.Token)
+	case e.Fleet != nil:
+		if b.word = e.Fleet.Word; e.Fleet.Fence != nil {
+			b.fences[e.Fleet.Fence.Duty] = max(b.fences[e.Fleet.Fence.Duty], e.Fleet.Fence.Token)
+		}
 	case e.Life != nil:
 		b.life = *e.Life
 	case e.Hold != nil:
 		for _, name := range e.Hold.Instances {
-			b.instance(name).Held = clip(e.Hold.Why)
+			b.instance(name).Held = protocol.Clip(e.Hold.Why)
 		}
 	case e.Learn != nil:
 		b.learn(e.Learn)
@@ -531,7 +563,7 @@
 		}
 	case e.End != nil:
 		if o := b.operation(e.End.ID, e.End.Instance); o != nil {
-			o.State, o.Reason, o.Ended = e.End.State, clip(e.End.Reason), e.At
+			o.State, o.Reason, o.Ended = e.End.State, protocol.Clip(e.End.Reason), e.At
 			if i := b.instances[e.End.Instance]; i != nil && i.Operation == e.End.ID {
 				i.Operation = ""
 			}
@@ -563,14 +595,6 @@
 // Life gives the agent's start on its folder that was written last; zero if none was.
 func (b *Book) Life() Life { return b.life }
 
-// clip bounds what is said of a thing.
-func clip(words string) string {
-	if len(words) <= wordsMost {
-		return words
-	}
-	return strings.ToValidUTF8(words[:wordsMost], "") + "…"
-}
-
 func (b *Book) release(c *Command) {
 	for _, name := range c.Instances {
 		if b.holders[name] == c {
@@ -669,7 +693,7 @@
 
 // Snapshot gives the whole book; it shares nothing with it.
 func (b *Book) Snapshot() *Snapshot {
-	s := &Snapshot{Instances: map[string]*Instance{}, Commands: make([]*Command, 0, len(b.order)), Horizon: b.horizon, Fences: maps.Clone(b.fences), Life: b.life}
+	s := &Snapshot{Instances: map[string]*Instance{}, Commands: make([]*Command, 0, len(b.order)), Horizon: b.horizon, Fences: maps.Clone(b.fences), Life: b.life, Word: b.word}
 	for name, i := range b.instances {
 		copied := *i
 		s.Instances[name] = &copied
@@ -689,7 +713,7 @@
 	b.commands, b.holders, b.order, b.horizon = map[string]*Command{}, map[string]*Command{}, nil, s.Horizon
 	b.fences = map[string]protocol.Token{}
 	maps.Copy(b.fences, s.Fences)
-	b.life = s.Life
+	b.life, b.word = s.Life, s.Word
 	for _, c := range s.Commands {
 		kept := c.clone()
 		b.commands[c.ID] = kept
--- a/internal/fleet/client/council.go
+++ b/internal/fleet/client/council.go
@@ -47,6 +47,21 @@
 	return a, c.call(ctx, http.MethodPost, "/council/command"+direct(itself), k, &a)
 }
 
+// Desired asks what the fleet should be.
+func (c *Client) Desired(ctx context.Context, itself bool) (v duty.FleetView, err error) {
+	return v, c.call(ctx, http.MethodGet, "/fleet/desired"+direct(itself), nil, &v)
+}
+
+// Fleet asks how far the fleet's word has come at the agent's instances.
+func (c *Client) Fleet(ctx context.Context) (f protocol.Fleet, err error) {
+	return f, c.call(ctx, http.MethodGet, "/fleet", nil, &f)
+}
+
+// TellFleet brings the fleet's word to the agent; the context carries the owner's fence.
+func (c *Client) TellFleet(ctx context.Context, o protocol.FleetOrder) (f protocol.Fleet, err error) {
+	return f, c.call(ctx, http.MethodPost, "/fleet", o, &f)
+}
+
 // CouncilRenew renews a duty's lease.
 func (c *Client) CouncilRenew(ctx context.Context, r duty.Renewal) error {
 	var none struct{}
--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -25,6 +25,7 @@
 	"github.com/hashicorp/raft"
 
 	"otterstep/internal/boottime"
+	"otterstep/internal/fleet/desired"
 	"otterstep/internal/fleet/duty"
 	"otterstep/internal/fleet/protocol"
 )
@@ -109,10 +110,10 @@
 	kept   identity // id, with what was learnt since
 	why    error
 	leases *duty.Leases
-	ledIn  uint64 // the term in which leases are known
-	says   map[string]string
-	offers map[string]string // by who asked for a duty
-	came   map[string]comer  // by agent
+	ledIn  uint64                       // the term in which leases are known
+	says   map[string]map[string]string // by duty and job
+	offers map[string]string            // by who asked for a duty
+	came   map[string]comer             // by agent
 }
 
 // New makes a voter; nothing is opened before Run.
@@ -159,7 +160,7 @@
 	seen := &witness{log: c.log}
 	seen.begin(c.cfg.Witness, at)
 	defer seen.Close()
-	l := &life{id: id, kept: *id, broken: make(chan struct{}), leases: duty.NewLeases(c.cfg.Lease), says: map[string]string{}, offers: map[string]string{}, came: map[string]comer{}, slow: make(chan time.Duration, 1)}
+	l := &life{id: id, kept: *id, broken: make(chan struct{}), leases: duty.NewLeases(c.cfg.Lease), says: map[string]map[string]string{}, offers: map[string]string{}, came: map[string]comer{}, slow: make(chan time.Duration, 1)}
 	l.streams = newStreams(func(ctx context.Context, server string) (net.Conn, error) {
 		founding, epoch := l.lineage()
 		return c.cfg.Peers.Stream(ctx, duty.NameOf(server), duty.Hello{Cluster: c.cfg.Cluster, Founding: founding, Epoch: epoch, From: id.server(), To: server})
@@ -756,7 +757,7 @@
 	if r.Told != nil {
 		r.Told.Back = l.back(command.Report, time.Now())
 	}
-	return duty.Answer{Token: r.Token, Job: r.Job, Told: r.Told, Kept: r.Kept}, err
+	return duty.Answer{Token: r.Token, Job: r.Job, Told: r.Told, Kept: r.Kept, Fleet: r.Fleet}, err
 }
 
 // back counts the agents that have come back of late, one that reports a new start among them.
@@ -838,13 +839,14 @@
 	if !l.leases.Renew(r.Duty, c.cfg.Clock.Now()) {
 		return protocol.Errorf(protocol.CodeFenced, "the lease of %s under token %v has ended", r.Duty, r.Token)
 	}
-	clear(l.says)
+	says := map[string]string{}
 	for _, job := range slices.Sorted(maps.Keys(r.Says)) {
-		if len(l.says) == saysMost {
+		if len(says) == saysMost {
 			break
 		}
-		l.says[job] = r.Says[job]
+		says[job] = r.Says[job]
 	}
+	l.says[r.Duty] = says // the duties are few: those that somebody owns
 	return nil
 }
 
@@ -858,6 +860,32 @@
 	return c.known(l, err == nil), nil
 }
 
+// Desired gives what this voter knows of what the fleet should be; it is current only if a majority says that
+// it leads.
+func (c *Council) Desired() (duty.FleetView, error) {
+	_, err := c.leading()
+	l := c.alive()
+	if l == nil {
+		return duty.FleetView{}, c.notLeader(nil)
+	}
+	v := duty.FleetView{From: c.cfg.Name, Current: err == nil}
+	l.machine.look(func(s *duty.State) { v.State, v.Owner = s.Desired(), s.Duty(duty.Fleet).Owner })
+	return v, nil
+}
+
+// KnownDesired gives the same without asking anybody, and whether it differs from the version that the caller
+// knows; nil if it does not, or the voter has stepped aside.
+func (c *Council) KnownDesired(but desired.Version) (state *desired.State) {
+	if l := c.alive(); l != nil {
+		l.machine.look(func(s *duty.State) {
+			if s.DesiredVersion() != but {
+				state = s.Desired()
+			}
+		})
+	}
+	return state
+}
+
 // Known gives what this voter knows without asking anybody, for its own agent; false if it
 // has stepped aside.
 func (c *Council) Known() (duty.View, bool) {
@@ -895,7 +923,10 @@
 		}
 	})
 	if v.Current {
-		v.Says = maps.Clone(l.says)
+		v.Says = map[string]string{}
+		for _, says := range l.says {
+			maps.Copy(v.Says, says)
+		}
 	}
 	return v
 }
--- a/internal/fleet/ctl/ctl.go
+++ b/internal/fleet/ctl/ctl.go
@@ -47,6 +47,7 @@
 	root.PersistentFlags().DurationVar(&o.timeout, "timeout", 30*time.Second, "for the whole command, however many agents hang; 5s if it only looks")
 	root.AddCommand(o.list(), o.inspect(), o.agents(), o.watch(), o.ops(), o.owners(), o.jobs(), o.council(), o.recovery(), o.kept(), pkiCommand())
 	root.AddCommand(o.backups()...)
+	root.AddCommand(o.fleets()...)
 	for kind, short := range map[string]string{
 		protocol.Start:   "Start instances and wait until they serve",
 		protocol.Drain:   "Have instances drain and end, and leave them down",
--- /dev/null
+++ b/internal/fleet/ctl/fleet.go
@@ -0,0 +1,366 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"otterstep/internal/cli"
+	"otterstep/internal/fleet/desired"
+	"otterstep/internal/fleet/duty"
+	"otterstep/internal/fleet/group"
+	"otterstep/internal/fleet/protocol"
+	"otterstep/internal/fleet/reconcile"
+	"otterstep/internal/tomlfile"
+)
+
+// standEvery is how often a tool that waits looks how far a version has come.
+const standEvery = 100 * time.Millisecond
+
+// fleetFile is the operators' file of what a fleet should be.
+type fleetFile struct {
+	Budgets *struct {
+		Away     *int     `toml:"away"`
+		Zone     *int     `toml:"zone"`
+		OutShare *float64 `toml:"out_share"`
+	} `toml:"budgets"`
+	Group []struct {
+		Name    string `toml:"name"`
+		Program string `toml:"program"`
+	} `toml:"group"`
+	Ban []struct {
+		Server string            `toml:"server"`
+		Reason string            `toml:"reason"`
+		For    tomlfile.Duration `toml:"for"`
+	} `toml:"ban"`
+}
+
+// loadFleet reads a file as a change of a document: groups that it does not name are as the agents' files have
+// them, budgets that it does not give are the usual ones, and bans that it does not name stay.
+func loadFleet(path string, now *desired.Document) (*desired.Part, error) {
+	var file fleetFile
+	f, err := tomlfile.Load(path, &file)
+	if err != nil {
+		return nil, err
+	}
+	p := &desired.Part{Groups: map[string]*desired.Group{}, Bans: map[string]*desired.Ban{}}
+	for name := range now.Groups {
+		p.Groups[name] = nil
+	}
+	if b := file.Budgets; b != nil {
+		budgets := desired.DefaultBudgets
+		if b.Away != nil {
+			budgets.Away = *b.Away
+		}
+		if b.Zone != nil {
+			budgets.Zone = *b.Zone
+		}
+		if b.OutShare != nil {
+			budgets.Out = *b.OutShare
+		}
+		p.Budgets = &budgets
+		if err := (desired.Part{Budgets: &budgets}).Check(); err != nil {
+			f.Bad("budgets", "%v", err)
+		}
+	}
+	for n, g := range file.Group {
+		at := fmt.Sprintf("group[%d]", n+1)
+		if p.Groups[g.Name] != nil {
+			f.Bad(at+".name", "%q is given twice", g.Name)
+		}
+		p.Groups[g.Name] = &desired.Group{Program: g.Program}
+		if err := (desired.Part{Groups: map[string]*desired.Group{g.Name: p.Groups[g.Name]}}).Check(); err != nil {
+			f.Bad(at, "%v", err)
+		}
+	}
+	for n, b := range file.Ban {
+		at := fmt.Sprintf("ban[%d]", n+1)
+		if p.Bans[b.Server] != nil {
+			f.Bad(at+".server", "%q is given twice", b.Server)
+		}
+		p.Bans[b.Server] = &desired.Ban{Server: b.Server, Reason: b.Reason, For: b.For.Duration}
+		if err := (desired.Part{Bans: map[string]*desired.Ban{b.Server: p.Bans[b.Server]}}).Check(); err != nil {
+			f.Bad(at, "%v", err)
+		}
+	}
+	return p, f.Err()
+}
+
+// desired hands what the fleet should be to show, once it is known.
+func (o *options) desired(c *cobra.Command, look func(*cobra.Command, func(context.Context, *group.Fleet) error) error, show func(context.Context, *group.Fleet, duty.FleetView) error) error {
+	return look(c, func(ctx context.Context, f *group.Fleet) error {
+		v, err := f.Desired(ctx)
+		if errors.Is(err, group.ErrNoFleet) {
+			return &cli.Exit{Code: cli.Usage, Err: err}
+		}
+		if err != nil {
+			return councilExit(err)
+		}
+		return show(ctx, f, v)
+	})
+}
+
+// change makes a change of what was seen, and waits until all nodes have confirmed it, unless told not to.
+func (o *options) change(c *cobra.Command, detach bool, make func(v duty.FleetView) (desired.Change, error)) error {
+	return o.desired(c, o.with, func(ctx context.Context, f *group.Fleet, v duty.FleetView) error {
+		if !v.Current {
+			return councilExit(protocol.Errorf(protocol.CodeNoCouncil, "%s tells what may be old, as no leader can be reached: nothing is changed", v.From))
+		}
+		change, err := make(v)
+		if err != nil {
+			return err
+		}
+		change.ID, change.At, change.Saw = protocol.NewID(time.Now(), rand.Uint64()), time.Now(), v.State.Document.Version
+		version, err := f.Change(ctx, change)
+		if err != nil {
+			return councilExit(err)
+		}
+		if detach {
+			return o.show(c.OutOrStdout(), struct {
+				Version desired.Version `json:"version"`
+			}{version}, func(p *printer) { fmt.Fprintf(p.tab, "version %v\n", version) }, false)
+		}
+		var st reconcile.Standing
+		var told map[string]protocol.Fleet
+		for {
+			if st, told = f.Standing(ctx, version); len(st.Waiting) == 0 {
+				break
+			}
+			wait := time.NewTimer(standEvery)
+			select {
+			case <-wait.C:
+				continue
+			case <-ctx.Done():
+			}
+			wait.Stop()
+			break
+		}
+		return o.show(c.OutOrStdout(), st, func(p *printer) { p.standing(st, told) }, len(st.Waiting) > 0)
+	})
+}
+
+// fleets are the commands on what the fleet should be.
+func (o *options) fleets() []*cobra.Command {
+	detach := false
+	waits := func(c *cobra.Command) *cobra.Command {
+		c.Flags().BoolVar(&detach, "detach", false, "do not wait until all nodes have confirmed it")
+		return c
+	}
+	reason, last := "", time.Duration(0)
+	ban := waits(&cobra.Command{
+		Use: "ban SERVER --reason TEXT", Short: "Leave a server out at all nodes, for a time or until unban", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return o.change(c, detach, func(duty.FleetView) (desired.Change, error) {
+				p := &desired.Part{Bans: map[string]*desired.Ban{args[0]: {Server: args[0], Reason: reason, For: last}}}
+				if err := p.Check(); err != nil {
+					return desired.Change{}, usage("%v", err)
+				}
+				return desired.Change{Set: p, Note: reason}, nil
+			})
+		},
+	})
+	ban.Flags().StringVar(&reason, "reason", "", "why, for whoever looks at it later")
+	ban.Flags().DurationVar(&last, "for", 0, "how long it lasts; until unban if not given")
+	unban := waits(&cobra.Command{
+		Use: "unban SERVER", Short: "End the fleet's ban of a server; a call by hand at a single node stays", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return o.change(c, detach, func(v duty.FleetView) (desired.Change, error) {
+				if v.State.Document.Bans[args[0]] == nil {
+					return desired.Change{}, usage("the fleet does not leave server %q out", args[0])
+				}
+				return desired.Change{Set: &desired.Part{Bans: map[string]*desired.Ban{args[0]: nil}}}, nil
+			})
+		},
+	})
+	file := ""
+	apply := waits(&cobra.Command{
+		Use: "apply -f FILE", Short: "Have the fleet be as a file says", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if file == "" {
+				return usage("-f FILE: which file says it")
+			}
+			if o.dryRun {
+				return o.would(c, file)
+			}
+			return o.change(c, detach, func(v duty.FleetView) (desired.Change, error) {
+				p, err := loadFleet(file, &v.State.Document)
+				if err != nil {
+					return desired.Change{}, &cli.Exit{Code: cli.Usage, Err: err}
+				}
+				return desired.Change{Set: p, Note: "apply"}, nil
+			})
+		},
+	})
+	apply.Flags().StringVarP(&file, "file", "f", "", "what the fleet should be")
+	apply.Flags().BoolVar(&o.dryRun, "dry-run", false, "say what would change, and change nothing")
+	diff := &cobra.Command{
+		Use: "diff [-f FILE | VERSION]", Short: "Show what a file would change, or what has changed since a version", Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if file != "" {
+				return o.would(c, file)
+			}
+			since := desired.Version(0)
+			if len(args) == 1 {
+				var err error
+				if since, err = version(args[0]); err != nil {
+					return err
+				}
+			}
+			return o.desired(c, o.look, func(_ context.Context, _ *group.Fleet, v duty.FleetView) error {
+				if len(args) == 0 {
+					since = v.State.Floor
+				}
+				lines, ok := v.State.Diff(since)
+				if !ok {
+					return usage("what came behind version %v is not remembered any more, as far back as %v is", since, v.State.Floor)
+				}
+				return o.lines(c, v, lines)
+			})
+		},
+	}
+	diff.Flags().StringVarP(&file, "file", "f", "", "what the fleet should be")
+	return []*cobra.Command{ban, unban, apply, diff, o.status(), waits(&cobra.Command{
+		Use: "undo [VERSION]", Short: "Take back what a version changed, the latest one's if none is named, as a new version", Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return o.change(c, detach, func(v duty.FleetView) (desired.Change, error) {
+				if len(args) == 1 {
+					back, err := version(args[0])
+					return desired.Change{Undo: back, Note: "undo " + args[0]}, err
+				}
+				if len(v.State.History) == 0 {
+					return desired.Change{}, usage("there is no change to take back")
+				}
+				back := v.State.History[len(v.State.History)-1].Version
+				return desired.Change{Undo: back, Note: "undo " + back.String()}, nil
+			})
+		},
+	})}
+}
+
+// version reads one, as "0.17".
+func version(text string) (desired.Version, error) {
+	epoch, number, ok := strings.Cut(text, ".")
+	e, err1 := strconv.ParseUint(epoch, 10, 64-protocol.EpochShift)
+	n, err2 := strconv.ParseUint(number, 10, protocol.EpochShift)
+	if !ok || err1 != nil || err2 != nil {
+		return 0, usage("%q is no version such as 0.17", text)
+	}
+	return desired.Version(e<<protocol.EpochShift | n), nil
+}
+
+// would shows what a file would change.
+func (o *options) would(c *cobra.Command, file string) error {
+	return o.desired(c, o.look, func(_ context.Context, _ *group.Fleet, v duty.FleetView) error {
+		p, err := loadFleet(file, &v.State.Document)
+		if err != nil {
+			return &cli.Exit{Code: cli.Usage, Err: err}
+		}
+		return o.lines(c, v, v.State.Would(*p))
+	})
+}
+
+func (o *options) lines(c *cobra.Command, v duty.FleetView, lines []string) error {
+	answer := struct {
+		Version desired.Version `json:"version"`
+		Current bool            `json:"current"`
+		Changes []string        `json:"changes"`
+	}{v.State.Document.Version, v.Current, append([]string{}, lines...)}
+	return o.show(c.OutOrStdout(), answer, func(p *printer) {
+		p.desiredCurrency(v)
+		for _, line := range lines {
+			fmt.Fprintln(p.tab, clean(line))
+		}
+		if len(lines) == 0 {
+			fmt.Fprintln(p.tab, "no change")
+		}
+	}, !v.Current)
+}
+
+func (o *options) status() *cobra.Command {
+	return &cobra.Command{
+		Use: "status", Short: "Show what the fleet should be, and for each node which version it has confirmed", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return o.desired(c, o.look, func(ctx context.Context, f *group.Fleet, v duty.FleetView) error {
+				st, told := f.Standing(ctx, v.State.Document.Version)
+				answer := struct {
+					Current  bool                      `json:"current"`
+					Owner    string                    `json:"owner"`
+					State    *desired.State            `json:"state"`
+					Standing reconcile.Standing        `json:"standing"`
+					Agents   map[string]protocol.Fleet `json:"agents"`
+				}{v.Current, v.Owner, v.State, st, told}
+				return o.show(c.OutOrStdout(), answer, func(p *printer) {
+					p.desiredCurrency(v)
+					p.document(v.State)
+					p.standing(st, told)
+				}, !v.Current || len(st.Waiting) > 0)
+			})
+		},
+	}
+}
+
+func (p *printer) desiredCurrency(v duty.FleetView) {
+	if !v.Current {
+		fmt.Fprintf(p.tab, "MAY BE OLD: %s answers and no majority stands behind it\n", clean(v.From))
+	}
+}
+
+// document shows what the fleet should be.
+func (p *printer) document(s *desired.State) {
+	d := &s.Document
+	fmt.Fprintf(p.tab, "version %v; %d servers listed; at most %v of them out, %d of a group's instances away", d.Version, s.Servers, d.Budgets.Out, d.Budgets.Away)
+	if d.Budgets.Zone > 0 {
+		fmt.Fprintf(p.tab, ", %d of a zone's", d.Budgets.Zone)
+	}
+	fmt.Fprint(p.tab, "\n\n")
+	if len(d.Bans) > 0 {
+		p.line("SERVER OUT", "REASON", "BY", "SINCE", "LASTS")
+		for _, id := range slices.Sorted(maps.Keys(d.Bans)) {
+			b := d.Bans[id]
+			lasts := "until unban"
+			if b.For > 0 {
+				lasts = fmt.Sprintf("%v, about %v left", b.For, b.Left.Round(time.Second))
+			}
+			p.line(id, b.Reason, b.By, p.age(b.At)+" ago", lasts)
+		}
+		fmt.Fprintln(p.tab)
+	}
+	if len(d.Groups) > 0 {
+		p.line("GROUP", "PROGRAM")
+		for _, name := range slices.Sorted(maps.Keys(d.Groups)) {
+			p.line(name, d.Groups[name].Program)
+		}
+		fmt.Fprintln(p.tab)
+	}
+}
+
+// standing shows how far a version has come.
+func (p *printer) standing(st reconcile.Standing, told map[string]protocol.Fleet) {
+	p.line("INSTANCE", "CONFIRMED", "SINCE", "OUT BY HAND HERE", "NOT IN ITS LIST", "WAITS")
+	for _, agent := range slices.Sorted(maps.Keys(told)) {
+		for _, t := range told[agent].Instances {
+			why, since := t.Waits, ""
+			if i := slices.IndexFunc(st.Waiting, func(w reconcile.Waiting) bool { return w.Agent == agent && w.Instance == t.Instance }); i >= 0 {
+				why = st.Waiting[i].Why
+			}
+			if !t.Since.IsZero() {
+				since = p.age(t.Since) + " ago"
+			}
+			p.line(agent+"/"+t.Instance, t.Version, since, strings.Join(t.Hand, " "), strings.Join(t.Missing, " "), why)
+		}
+	}
+	for _, w := range st.Waiting {
+		if w.Instance == "" {
+			p.line(w.Agent+"/*", "not known", "", "", "", w.Why)
+		}
+	}
+	fmt.Fprintf(p.tab, "\nversion %v: %d confirmed, %d not\n", st.Latest, st.Confirmed, len(st.Waiting))
+}
--- /dev/null
+++ b/internal/fleet/desired/desired_test.go
@@ -0,0 +1,294 @@
+package desired
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"otterstep/internal/cordon"
+	"otterstep/internal/fleet/protocol"
+	"otterstep/internal/standin/drawn"
+)
+
+func TestMain(m *testing.M) { drawn.Main(m) }
+
+func id(n int) string { return protocol.NewID(time.UnixMilli(int64(n)), uint64(n)) }
+
+func code(err error) string {
+	var e *protocol.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return fmt.Sprint(err)
+}
+
+// plain is a fleet's document as a table of words, with every version of it kept.
+type plain struct {
+	versions []map[string]string // by version; a key that is missing stands as it does by itself
+	touched  []map[string]bool   // the keys that each version changed
+	ids      map[string]bool
+}
+
+// Against a plain model: whoever changes a key that somebody else has changed since he looked is refused, nobody
+// else is, undo brings back what stood there, and each version holds what its changes add up to.
+func TestChangesAgainstAPlainModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		s.Note(40, nil)
+		m := plain{versions: []map[string]string{{}}, touched: []map[string]bool{{}}, ids: map[string]bool{}}
+		latest := func() int { return len(m.versions) - 1 }
+		overlaps := func(since int, keys map[string]bool) bool {
+			for v := since + 1; v <= latest(); v++ {
+				for key := range m.touched[v] {
+					if keys[key] {
+						return true
+					}
+				}
+			}
+			return false
+		}
+		for n := range rapid.IntRange(1, 60).Draw(t, "changes") {
+			c := Change{ID: id(n + 1), By: "ada", Saw: Version(rapid.IntRange(max(0, latest()-3), latest()).Draw(t, "saw"))}
+			want := map[string]string{}
+			since := int(c.Saw)
+			if undo := rapid.IntRange(0, 4).Draw(t, "undo") == 0 && latest() > 0; undo {
+				back := rapid.IntRange(max(1, latest()-3), latest()).Draw(t, "back")
+				c.Undo, since = Version(back), min(back, since)
+				for key := range m.touched[back] {
+					want[key] = m.versions[back-1][key]
+				}
+				if overlaps(back, m.touched[back]) {
+					since = back
+				} else {
+					since = int(c.Saw)
+				}
+			} else {
+				p := Part{}
+				for _, server := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 0, 2, rapid.ID[string]).Draw(t, "servers") {
+					if rapid.Bool().Draw(t, "out") {
+						b := &Ban{Server: server, Reason: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "reason")}
+						put(&p.Bans, server, b)
+						want["ban "+server] = b.Reason
+					} else {
+						put[Ban](&p.Bans, server, nil)
+						want["ban "+server] = ""
+					}
+				}
+				if rapid.Bool().Draw(t, "group") {
+					g := &Group{Program: rapid.SampledFrom([]string{"", "v1", "v2"}).Draw(t, "program")}
+					put(&p.Groups, "g", g)
+					want["group g"] = g.Program
+				}
+				c.Set = &p
+			}
+			maps.DeleteFunc(want, func(key, value string) bool { return m.versions[latest()][key] == value })
+			keys := map[string]bool{}
+			for key := range want {
+				keys[key] = true
+			}
+			conflicts := overlaps(since, keys)
+			if c.Undo != 0 {
+				conflicts = conflicts || overlaps(int(c.Undo), m.touched[c.Undo])
+			}
+			err := s.Apply(c)
+			switch {
+			case conflicts && code(err) != protocol.CodeConflict:
+				t.Fatalf("%+v on %v: %v, want a conflict", c, m.versions, err)
+			case !conflicts && err != nil:
+				t.Fatalf("%+v on %v: %v", c, m.versions, err)
+			case !conflicts && len(want) > 0:
+				next := maps.Clone(m.versions[latest()])
+				maps.Copy(next, want)
+				m.versions, m.touched = append(m.versions, next), append(m.touched, keys)
+			}
+			if rapid.Bool().Draw(t, "again") { // its answer was lost
+				before := s.Clone()
+				if err2 := s.Apply(c); !reflect.DeepEqual(before, s.Clone()) {
+					t.Fatalf("the same change again changes something: %v, %v", err, err2)
+				}
+			}
+			if int(s.Document.Version) != latest() {
+				t.Fatalf("version %v, want %d", s.Document.Version, latest())
+			}
+			is := map[string]string{}
+			for server, b := range s.Document.Bans {
+				is["ban "+server] = b.Reason
+			}
+			for name, g := range s.Document.Groups {
+				is["group "+name] = g.Program
+			}
+			for key, value := range m.versions[latest()] {
+				if is[key] != value {
+					t.Fatalf("%s is %q, want %q", key, is[key], value)
+				}
+			}
+			text, err := json.Marshal(s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			read := New()
+			if err := json.Unmarshal(text, read); err != nil || !reflect.DeepEqual(read.Word(), s.Word()) {
+				t.Fatalf("read again: %+v, %v, want %+v", read.Word(), err, s.Word())
+			}
+		}
+	})
+}
+
+// A conflict shows both sides.
+func TestConflictShowsBothSides(t *testing.T) {
+	s := New()
+	s.Note(8, nil)
+	ban := func(n int, by, reason string, saw Version) error {
+		return s.Apply(Change{ID: id(n), By: by, Saw: saw, Set: &Part{Bans: map[string]*Ban{"s1": {Server: "s1", Reason: reason}}}})
+	}
+	if err := ban(1, "ada", "disk", 0); err != nil {
+		t.Fatal(err)
+	}
+	err := ban(2, "eve", "fan", 0)
+	if code(err) != protocol.CodeConflict || !strings.Contains(err.Error(), "ada says: out (disk)") || !strings.Contains(err.Error(), "eve wants: out (fan)") {
+		t.Error(err)
+	}
+	if lines, ok := s.Diff(0); !ok || len(lines) != 1 || lines[0] != "0.1 by ada: ban s1: in -> out (disk)" {
+		t.Errorf("%q", lines)
+	}
+	if lines := s.Would(Part{Bans: map[string]*Ban{"s1": nil}}); len(lines) != 1 || lines[0] != "ban s1: out (disk) -> in" {
+		t.Errorf("%q", lines)
+	}
+}
+
+// Too many at once are refused with what would remain; so is a ban while nobody knows how many there are.
+func TestShareOfServersOut(t *testing.T) {
+	s := New()
+	out := func(n int, server string) error {
+		return s.Apply(Change{ID: id(n), Saw: s.Document.Version, Set: &Part{Bans: map[string]*Ban{server: {Server: server, Reason: "x"}}}})
+	}
+	if err := out(1, "s1"); code(err) != protocol.CodeNoCouncil {
+		t.Errorf("with no server known: %v", err)
+	}
+	s.Note(8, nil)
+	for n, server := range []string{"s1", "s2"} {
+		if err := out(n+2, server); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := out(5, "s3"); code(err) != protocol.CodeConflict || !strings.Contains(err.Error(), "3 of 8 servers would be out and 5 would remain; at most 2") {
+		t.Error(err)
+	}
+	// One in another's place is no more than there were.
+	swap := Part{Bans: map[string]*Ban{"s1": nil, "s3": {Server: "s3", Reason: "x"}}}
+	if err := s.Apply(Change{ID: id(6), Saw: s.Document.Version, Set: &swap}); err != nil {
+		t.Error(err)
+	}
+	s.Note(4, nil) // fewer servers than there were: what is out stays so, and can be lifted
+	if err := s.Apply(Change{ID: id(7), Saw: s.Document.Version, Set: &Part{Bans: map[string]*Ban{"s2": nil}}}); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestBounds(t *testing.T) {
+	s := New()
+	s.Note(10_000, nil)
+	for n := range HistoryMost + 10 {
+		p := Part{Bans: map[string]*Ban{"s": {Server: "s", Reason: fmt.Sprint(n)}}}
+		if err := s.Apply(Change{ID: id(n + 1), Saw: s.Document.Version, Set: &p}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(s.History) != HistoryMost {
+		t.Errorf("%d changes are remembered", len(s.History))
+	}
+	if _, ok := s.Diff(3); ok {
+		t.Error("tells what it has forgotten")
+	}
+	if err := s.Apply(Change{ID: id(1000), Saw: 3, Set: &Part{Bans: map[string]*Ban{"t": {Server: "t", Reason: "x"}}}}); code(err) != protocol.CodeConflict {
+		t.Errorf("seen long ago: %v", err)
+	}
+	many := Part{}
+	for n := range cordon.BansMost + 1 {
+		put(&many.Bans, fmt.Sprint("s", n), &Ban{Server: fmt.Sprint("s", n), Reason: "x"})
+	}
+	before := s.Clone()
+	if err := s.Apply(Change{ID: id(1001), Saw: s.Document.Version, Set: &many}); code(err) != protocol.CodeConflict || !reflect.DeepEqual(before, s.Clone()) {
+		t.Errorf("too many bans: %v", err)
+	}
+	groups := Part{}
+	for n := range GroupsMost + 1 {
+		put(&groups.Groups, fmt.Sprint("g", n), &Group{Program: "v1"})
+	}
+	if err := s.Apply(Change{ID: id(1002), Saw: s.Document.Version, Set: &groups}); code(err) != protocol.CodeConflict {
+		t.Errorf("too many groups: %v", err)
+	}
+}
+
+// A ban ends once, by the owner's count, and not if it was begun anew meanwhile; a recovery's epoch leaves all
+// versions of before behind.
+func TestEndsAndEpochs(t *testing.T) {
+	s := New()
+	s.Note(8, nil)
+	begin := func(n int, reason string) Version {
+		p := Part{Bans: map[string]*Ban{"s1": {Server: "s1", Reason: reason, For: time.Minute}}}
+		if err := s.Apply(Change{ID: id(n), Saw: s.Document.Version, By: "ada", Set: &p}); err != nil {
+			t.Fatal(err)
+		}
+		return s.Since["s1"]
+	}
+	first := begin(1, "x")
+	s.Note(0, map[string]time.Duration{"s1": time.Second, "s2": time.Second})
+	if left := s.Document.Bans["s1"].Left; left != time.Second || s.Servers != 8 {
+		t.Errorf("%v left, %d servers", left, s.Servers)
+	}
+	second := begin(2, "y")
+	if left := s.Document.Bans["s1"].Left; left != time.Minute {
+		t.Errorf("begun anew: %v left", left)
+	}
+	for n, c := range []struct {
+		since Version
+		out   bool
+	}{{first, true}, {second, false}, {second, false}} {
+		if err := s.Apply(Change{ID: id(10 + n), By: "fleet", End: &End{Server: "s1", Since: c.since}}); err != nil || (s.Document.Bans["s1"] != nil) != c.out {
+			t.Errorf("ended since %v: %v, %v", c.since, s.Document.Bans["s1"], err)
+		}
+	}
+	before := s.Document.Version
+	s.Raise(2)
+	if s.Document.Version <= before || s.Document.Version.Epoch() != 2 {
+		t.Errorf("version %v after the recovery", s.Document.Version)
+	}
+	p := Part{Bans: map[string]*Ban{"s1": {Server: "s1", Reason: "z"}}}
+	if err := s.Apply(Change{ID: id(20), Saw: before, Set: &p}); code(err) != protocol.CodeConflict {
+		t.Errorf("seen before the recovery: %v", err)
+	}
+}
+
+func TestBadParts(t *testing.T) {
+	for want, p := range map[string]Part{
+		"reason: 1 to 200":       {Bans: map[string]*Ban{"s1": {Server: "s1"}}},
+		"for: -1s":               {Bans: map[string]*Ban{"s1": {Server: "s1", Reason: "x", For: -time.Second}}},
+		"for: 1ms":               {Bans: map[string]*Ban{"s1": {Server: "s1", Reason: "x", For: time.Millisecond}}},
+		"under the name of":      {Bans: map[string]*Ban{"s1": {Server: "s2", Reason: "x"}}},
+		`server ""`:              {Bans: map[string]*Ban{"": nil}},
+		`group: "a b"`:           {Groups: map[string]*Group{"a b": nil}},
+		`program: "../x"`:        {Groups: map[string]*Group{"g": {Program: "../x"}}},
+		"away: 0":                {Budgets: &Budgets{}},
+		"zone: -1":               {Budgets: &Budgets{Away: 1, Zone: -1}},
+		"out_share: 1.5, 0 to 1": {Budgets: &Budgets{Away: 1, Out: 1.5}},
+	} {
+		s := New()
+		if err := s.Apply(Change{ID: id(1), Set: &p}); code(err) != protocol.CodeUsage || !strings.Contains(err.Error(), want) {
+			t.Errorf("%+v: %v, want %q", p, err, want)
+		}
+	}
+	s := New()
+	for n, c := range []Change{{}, {ID: id(1)}, {ID: id(1), Undo: 7}, {ID: id(1), Saw: 9, Set: &Part{Groups: map[string]*Group{"g": {Program: "v1"}}}}} {
+		if err := s.Apply(c); err == nil || s.Document.Version != 0 {
+			t.Errorf("%d: %v", n, err)
+		}
+	}
+}
--- a/internal/fleet/duty/answers.go
+++ b/internal/fleet/duty/answers.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"otterstep/internal/fleet/desired"
 )
 
 // Hello is what a voter says when it begins a stream to another.
@@ -79,12 +81,21 @@
 
 // Answer answers a command.
 type Answer struct {
-	Token Token         `json:"token,omitempty"`
-	Job   *Job          `json:"job,omitempty"`
-	Left  time.Duration `json:"left_ns,omitempty"` // of somebody else's lease, Acquire
-	Offer string        `json:"offer,omitempty"`   // Acquire: it is to be had, by asking again with this
-	Told  *Told         `json:"told,omitempty"`    // Report
-	Kept  []string      `json:"kept,omitempty"`    // Restore: what was newer here and stayed
+	Token Token           `json:"token,omitempty"`
+	Job   *Job            `json:"job,omitempty"`
+	Left  time.Duration   `json:"left_ns,omitempty"` // of somebody else's lease, Acquire
+	Offer string          `json:"offer,omitempty"`   // Acquire: it is to be had, by asking again with this
+	Told  *Told           `json:"told,omitempty"`    // Report
+	Kept  []string        `json:"kept,omitempty"`    // Restore: what was newer here and stayed
+	Fleet desired.Version `json:"fleet,omitempty"`   // Change: the version that stands now
+}
+
+// FleetView is what a voter knows of what the fleet should be. Unless Current, it may be old.
+type FleetView struct {
+	From    string         `json:"from"`
+	Current bool           `json:"current"`
+	Owner   string         `json:"owner,omitempty"` // of the duty Fleet
+	State   *desired.State `json:"state"`
 }
 
 // NameOf gives the agent's name in a server's, NAME/ID.
--- a/internal/fleet/duty/backup.go
+++ b/internal/fleet/duty/backup.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"otterstep/internal/fleet/desired"
 	"otterstep/internal/fleet/protocol"
 )
 
@@ -39,6 +40,7 @@
 	for _, d := range s.duties {
 		d.Owner = ""
 	}
+	s.fleet.Raise(s.epoch)
 }
 
 // Backup is a council's state in a file.
@@ -130,7 +132,7 @@
 			continue
 		}
 		if j.State == Active || j.State == Paused {
-			j.State, j.Why = Stopped, clip(fmt.Sprintf("restored from a backup of %s: resume or cancel it", r.Backup.Taken.Format(time.RFC3339)))
+			j.State, j.Why = Stopped, protocol.Clip(fmt.Sprintf("restored from a backup of %s: resume or cancel it", r.Backup.Taken.Format(time.RFC3339)))
 		}
 		s.jobs[id] = j
 		s.order = append(s.order, id)
@@ -140,10 +142,25 @@
 			s.duties[name] = &Duty{Name: name, Token: d.Token}
 		}
 	}
+	kept = append(kept, s.restoreFleet(from.fleet)...)
 	s.raise(from.epoch)
 	return Result{Kept: kept}
 }
 
+// restoreFleet takes what the fleet should be from a backup if nothing is known of it here; else the newer
+// word stays, and each difference is told.
+func (s *State) restoreFleet(from *desired.State) (kept []string) {
+	if s.fleet.Document.Version == 0 {
+		s.fleet = from.Clone()
+		return nil
+	}
+	all := desired.Part{Bans: from.Document.Bans, Groups: from.Document.Groups, Budgets: &from.Document.Budgets}
+	for _, line := range s.fleet.Would(all) {
+		kept = append(kept, fmt.Sprintf("the fleet's version %v stays; the backup's %v would change %s", s.fleet.Document.Version, from.Document.Version, line))
+	}
+	return kept
+}
+
 func word(up bool) string {
 	if up {
 		return "up"
--- a/internal/fleet/duty/duty.go
+++ b/internal/fleet/duty/duty.go
@@ -9,9 +9,9 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
+	"otterstep/internal/fleet/desired"
 	"otterstep/internal/fleet/protocol"
 )
 
@@ -19,15 +19,15 @@
 const Form = 1
 
 const (
-	// Rollouts is the duty of carrying out jobs.
+	// Rollouts is the duty of carrying out jobs, Fleet that of bringing the fleet to what it should be.
 	Rollouts = "rollouts"
+	Fleet    = "fleet"
 
 	// DutiesMost bounds the duties, JobsMost the jobs that are remembered, ended ones too, and
 	// TargetsMost the instances that all jobs name together.
 	DutiesMost  = 64
 	JobsMost    = 200
 	TargetsMost = 20_000
-	wordsMost   = 200 // bytes of a reason; more is cut off
 
 	// VotersLeast and VotersMost bound the voters. A change from 3 to 5 passes 4, which is worth
 	// no more than 3.
@@ -152,19 +152,28 @@
 
 // Command is one change. Exactly one of its pointers is set.
 type Command struct {
-	Form    int      `json:"form"`
-	Acquire *Acquire `json:"acquire,omitempty"`
-	Release *Release `json:"release,omitempty"`
-	Submit  *Job     `json:"submit,omitempty"`
-	Mark    *Mark    `json:"mark,omitempty"`
-	Stop    *Stop    `json:"stop,omitempty"`
-	Turn    *Turn    `json:"turn,omitempty"`
-	Found   *Found   `json:"found,omitempty"`
-	Voter   *Voter   `json:"voter,omitempty"`
-	Base    *Base    `json:"base,omitempty"`
-	Report  *Report  `json:"report,omitempty"`
-	Reborn  *Reborn  `json:"reborn,omitempty"`
-	Restore *Restore `json:"restore,omitempty"`
+	Form    int             `json:"form"`
+	Acquire *Acquire        `json:"acquire,omitempty"`
+	Release *Release        `json:"release,omitempty"`
+	Submit  *Job            `json:"submit,omitempty"`
+	Mark    *Mark           `json:"mark,omitempty"`
+	Stop    *Stop           `json:"stop,omitempty"`
+	Turn    *Turn           `json:"turn,omitempty"`
+	Found   *Found          `json:"found,omitempty"`
+	Voter   *Voter          `json:"voter,omitempty"`
+	Base    *Base           `json:"base,omitempty"`
+	Report  *Report         `json:"report,omitempty"`
+	Reborn  *Reborn         `json:"reborn,omitempty"`
+	Restore *Restore        `json:"restore,omitempty"`
+	Change  *desired.Change `json:"change,omitempty"`
+	Note    *Note           `json:"note,omitempty"`
+}
+
+// Note is what the owner of Fleet has counted: the servers that nodes list, and what is left of bans.
+type Note struct {
+	Token   Token                    `json:"token"`
+	Servers int                      `json:"servers,omitempty"`
+	Left    map[string]time.Duration `json:"left,omitempty"`
 }
 
 // Base writes down a job's Before, once.
@@ -240,7 +249,9 @@
 	// Told answers a Report, Kept a Restore: what was newer here and stayed.
 	Told *Told    `json:"told,omitempty"`
 	Kept []string `json:"kept,omitempty"`
-	Err  error    `json:"-"` // a *protocol.Error
+	// Fleet answers a Change: the version that stands now.
+	Fleet desired.Version `json:"fleet,omitempty"`
+	Err   error           `json:"-"` // a *protocol.Error
 }
 
 // State is what the council knows. It is not safe for concurrent use.
@@ -253,11 +264,36 @@
 	jobs     map[string]*Job
 	order    []string // ids of jobs, the oldest first
 	agents   map[string]*Memory
+	fleet    *desired.State
 }
 
 // New makes an empty state.
 func New() *State {
-	return &State{duties: map[string]*Duty{}, jobs: map[string]*Job{}, agents: map[string]*Memory{}}
+	return &State{duties: map[string]*Duty{}, jobs: map[string]*Job{}, agents: map[string]*Memory{}, fleet: desired.New()}
+}
+
+// Desired gives a copy of what the fleet should be, with its history.
+func (s *State) Desired() *desired.State { return s.fleet.Clone() }
+
+// DesiredVersion gives its version.
+func (s *State) DesiredVersion() desired.Version { return s.fleet.Document.Version }
+
+func (s *State) change(c *desired.Change) Result {
+	if c.End != nil {
+		if err := s.own(Fleet, c.End.Token); err != nil {
+			return Result{Err: err}
+		}
+	}
+	err := s.fleet.Apply(*c)
+	return Result{Fleet: s.fleet.Document.Version, Err: err}
+}
+
+func (s *State) note(n *Note) Result {
+	if err := s.own(Fleet, n.Token); err != nil {
+		return Result{Err: err}
+	}
+	s.fleet.Note(n.Servers, n.Left)
+	return Result{}
 }
 
 // Duty gives a duty; one that nobody ever had is known with no owner and token 0.
@@ -327,6 +363,10 @@
 		return s.reborn(c.Reborn)
 	case c.Restore != nil:
 		return s.restore(c.Restore)
+	case c.Change != nil:
+		return s.change(c.Change)
+	case c.Note != nil:
+		return s.note(c.Note)
 	case c.Found != nil:
 		return s.found(c.Found)
 	case c.Voter != nil:
@@ -543,7 +583,7 @@
 	case m.Phase == Intent && at.IsZero():
 		at = m.At
 	}
-	*is = Step{m.Phase, m.Token, clip(m.Text), at}
+	*is = Step{m.Phase, m.Token, protocol.Clip(m.Text), at}
 	j.settle()
 	return Result{Job: j.Clone()}
 }
@@ -592,7 +632,7 @@
 		return Result{Err: err}
 	}
 	if j.State == Active {
-		j.State, j.Why = Stopped, clip(e.Why)
+		j.State, j.Why = Stopped, protocol.Clip(e.Why)
 	}
 	return Result{Job: j.Clone()}
 }
@@ -624,14 +664,6 @@
 	return Result{Job: j.Clone()}
 }
 
-// clip bounds what is said of a thing.
-func clip(words string) string {
-	if len(words) <= wordsMost {
-		return words
-	}
-	return strings.ToValidUTF8(words[:wordsMost], "") + "…"
-}
-
 // snapshot is a State on disk.
 type snapshot struct {
 	Form     int      `json:"form"`
@@ -643,11 +675,12 @@
 	Jobs     []*Job   `json:"jobs"`
 
 	Agents map[string]*Memory `json:"agents,omitempty"`
+	Fleet  *desired.State     `json:"fleet,omitempty"`
 }
 
 // Snapshot writes the whole state.
 func (s *State) Snapshot() ([]byte, error) {
-	text, err := json.Marshal(snapshot{Form, s.founding, s.voters, s.epoch, s.last, s.Duties(), s.Jobs(), s.agents})
+	text, err := json.Marshal(snapshot{Form, s.founding, s.voters, s.epoch, s.last, s.Duties(), s.Jobs(), s.agents, s.fleet})
 	if err != nil {
 		return nil, fmt.Errorf("duty: snapshot: %w", err)
 	}
@@ -672,6 +705,9 @@
 		}
 		into.agents[name] = m
 	}
+	if from.Fleet != nil {
+		into.fleet = from.Fleet.Clone()
+	}
 	for _, d := range from.Duties {
 		into.duties[d.Name] = &d
 		if d.Token > into.last {
--- a/internal/fleet/duty/duty_test.go
+++ b/internal/fleet/duty/duty_test.go
@@ -220,7 +220,7 @@
 	if r := s.Apply(Command{Form: Form, Submit: job(JobsMost+1, TargetsMost)}); code(r.Err) != protocol.CodeConflict {
 		t.Errorf("instances too many: %v", r.Err)
 	}
-	if j := s.Jobs()[0]; len(clip(string(make([]byte, 10_000)))) > wordsMost+len("…") || j.Why != "" {
+	if j := s.Jobs()[0]; len(protocol.Clip(string(make([]byte, 10_000)))) > protocol.WordsMost+len("…") || j.Why != "" {
 		t.Errorf("words are not bounded")
 	}
 }
--- a/internal/fleet/duty/memory.go
+++ b/internal/fleet/duty/memory.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"otterstep/internal/cordon"
 	"otterstep/internal/fleet/protocol"
 )
 
@@ -42,6 +43,8 @@
 	// Back counts the agents that have come back within the last seconds, the asker among
 	// them, as the leader has seen it.
 	Back int `json:"back"`
+	// Word is what nodes are to know of what the fleet should be.
+	Word cordon.Word `json:"word"`
 }
 
 func (s *State) report(r *Report) Result {
@@ -54,7 +57,7 @@
 	case len(r.Instances) > protocol.InstancesMost:
 		return refuse(protocol.CodeUsage, "report: %d instances, at most %d can be", len(r.Instances), protocol.InstancesMost)
 	}
-	told := &Told{Known: m != nil, Instances: map[string]Desired{}, Fences: map[string]Token{}}
+	told := &Told{Known: m != nil, Instances: map[string]Desired{}, Fences: map[string]Token{}, Word: s.fleet.Word()}
 	if !r.Asks {
 		if m == nil {
 			m = &Memory{Instances: map[string]Desired{}}
--- a/internal/fleet/instance/instance.go
+++ b/internal/fleet/instance/instance.go
@@ -48,6 +48,8 @@
 	Inspect(ctx context.Context, i Spec) (control.Inspection, error)
 	// Keep has an instance do something with what it keeps for its way back.
 	Keep(ctx context.Context, i Spec, k control.Keep) error
+	// Tell brings the fleet's word to an instance.
+	Tell(ctx context.Context, i Spec, w control.Word) (control.Fleet, error)
 	// Trim bounds what the instance has logged.
 	Trim(i Spec) error
 }
--- a/internal/fleet/instance/processes.go
+++ b/internal/fleet/instance/processes.go
@@ -114,6 +114,11 @@
 	return control.TellKept(ctx, i.Control, k)
 }
 
+// Tell implements Runner.
+func (r *Processes) Tell(ctx context.Context, i Spec, w control.Word) (control.Fleet, error) {
+	return control.Tell(ctx, i.Control, w)
+}
+
 // Trim implements Runner. Lines that are written between the copy and the cut are
 // lost; the instance appends, so that it goes on at the start.
 func (r *Processes) Trim(i Spec) error {
--- a/internal/fleet/owner/owner.go
+++ b/internal/fleet/owner/owner.go
@@ -19,6 +19,7 @@
 
 	"otterstep/internal/boottime"
 	"otterstep/internal/fleet/client"
+	"otterstep/internal/fleet/desired"
 	"otterstep/internal/fleet/duty"
 	"otterstep/internal/fleet/group"
 	"otterstep/internal/fleet/protocol"
@@ -34,8 +35,6 @@
 	lookEvery  = 250 * time.Millisecond
 	lookWithin = time.Second
 	freshFor   = 2 * time.Second
-	// renewals are made so many times within what an owner may use of a lease.
-	renewals   = 4
 	healthEach = time.Second
 	baseLooks  = 2 // behind the first one: a second's answers
 	againAfter = 200 * time.Millisecond
@@ -49,6 +48,9 @@
 	AfterSend     = "sent"     // it was accepted
 	AfterEnd      = "answered" // its end is known
 	BetweenOrders = "between"  // its outcome is written
+
+	BeforeWord = "word" // the fleet's word is told to an agent, or it is looked at
+	AfterWord  = "told" // it has answered, or not
 )
 
 // Council is the way to the council.
@@ -61,6 +63,9 @@
 	// Memories gives what the council keeps of agents: what there is at those that this owner
 	// has never reached.
 	Memories() map[string]duty.Memory
+	// KnownDesired gives what this agent's voter knows of what the fleet should be, if that is another version
+	// than the given one; else nil.
+	KnownDesired(but desired.Version) *desired.State
 }
 
 // Options are what New needs.
@@ -87,36 +92,10 @@
 
 // Run takes the duty whenever there is work and nobody has it, until ctx ends.
 func (o *Owner) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		changed := o.opt.Council.Changed()
-		wait := idleEvery
-		if v, ok := o.opt.Council.Known(); ok && open(v.Jobs) {
-			want := duty.Acquire{Duty: duty.Rollouts, Owner: o.opt.Name}
-			a, err := o.opt.Council.Do(ctx, duty.Command{Acquire: &want})
-			asked := o.opt.Clock.Now()
-			if err == nil && a.Offer != "" {
-				want.Offer = a.Offer
-				a, err = o.opt.Council.Do(ctx, duty.Command{Acquire: &want})
-			}
-			switch {
-			case err != nil:
-			case a.Token != 0:
-				hold := duty.Hold{Fence: duty.Fence{Duty: duty.Rollouts, Token: a.Token}}.Renewed(asked, o.opt.Lease)
-				if why := o.own(ctx, hold); !errors.Is(why, errBlind) {
-					continue
-				}
-				wait = o.opt.Lease // others are to have their chance
-			default:
-				wait = min(max(a.Left/2, leastWait), time.Second)
-			}
-			changed = nil // a change hastens nothing
-		}
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		case <-time.After(wait):
-		}
-	}
+	take(ctx, o.opt, duty.Rollouts, func() bool {
+		v, ok := o.opt.Council.Known()
+		return ok && open(v.Jobs)
+	}, o.own)
 }
 
 func open(jobs []*duty.Job) bool {
@@ -129,19 +108,14 @@
 	instances []protocol.Instance
 }
 
-// tenure is one ownership.
+// tenure is one ownership of Rollouts.
 type tenure struct {
-	*Owner
-	log    *slog.Logger
-	lost   context.CancelCauseFunc
+	*holding
 	ends   chan end
 	health map[string]*health // by job; the loop's own
-	work   sync.WaitGroup
 
 	mu    sync.Mutex
-	hold  duty.Hold
 	looks map[string]look // by agent: those that were raised
-	says  map[string]string
 }
 
 // health is what a job's instances answer, looked at beside the loop.
@@ -164,98 +138,13 @@
 // forgotten is why an order fails at an agent that lost its memory after the intent.
 const forgotten = "its agent has lost its memory since the order was intended: whether it was done can't be told; jobs resume tries it again"
 
-var (
-	errLeaseOver = errors.New("the lease has ended by this owner's clock")
-	errNoWork    = errors.New("nothing is left to do")
-	errBlind     = errors.New("this agent's own voter has stepped aside, or hears nothing of the others: another one should own")
-)
-
 // own carries out what there is until the duty is lost, ctx ends or nothing is left.
-// It gives why it ended.
-func (o *Owner) own(parent context.Context, hold duty.Hold) error {
-	ctx, lost := context.WithCancelCause(client.WithFence(parent, hold.Fence))
-	t := &tenure{
-		Owner: o, log: o.opt.Log.With("duty", hold.Duty, "token", hold.Token.String()), lost: lost, hold: hold,
-		ends: make(chan end), health: map[string]*health{}, looks: map[string]look{}, says: map[string]string{},
-	}
-	t.log.Info("owns a duty")
-	t.work.Go(func() { t.renew(ctx) })
-	t.work.Go(func() { t.watch(ctx) })
+func (o *Owner) own(ctx context.Context, h *holding) {
+	t := &tenure{holding: h, ends: make(chan end), health: map[string]*health{}, looks: map[string]look{}}
 	for _, a := range o.opt.Fleet.All() {
 		t.work.Go(func() { t.attend(ctx, a) })
 	}
 	t.loop(ctx)
-	lost(nil)
-	t.work.Wait()
-	why := context.Cause(ctx)
-	t.log.Info("owns it no longer", "why", why)
-	if errors.Is(why, errNoWork) || errors.Is(why, errBlind) || parent.Err() != nil {
-		// Nobody has to wait for the lease then. What was sent goes on, and the next owner finds it.
-		let, cancel := context.WithTimeout(context.WithoutCancel(parent), lookWithin)
-		defer cancel()
-		if _, err := o.opt.Council.Do(let, duty.Command{Release: &duty.Release{Fence: hold.Fence}}); err != nil {
-			t.log.Warn("the duty could not be given back: its lease runs out", "err", err)
-		}
-	}
-	return why
-}
-
-// good tells whether anything may still be begun, and ends the tenure if not.
-func (t *tenure) good() bool {
-	t.mu.Lock()
-	good := t.hold.Good(t.opt.Clock.Now())
-	t.mu.Unlock()
-	if !good {
-		t.lost(errLeaseOver)
-	}
-	return good
-}
-
-// watch ends the tenure as soon as the lease is over by this machine's clock.
-func (t *tenure) watch(ctx context.Context) {
-	every := time.NewTicker(leastWait)
-	defer every.Stop()
-	for t.good() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-every.C:
-		}
-	}
-}
-
-func (t *tenure) renew(ctx context.Context) {
-	each := duty.Usable(t.opt.Lease) / renewals
-	every := time.NewTicker(each)
-	defer every.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-every.C:
-		}
-		t.mu.Lock()
-		r := duty.Renewal{Fence: t.hold.Fence, Says: maps.Clone(t.says)}
-		t.mu.Unlock()
-		asked := t.opt.Clock.Now()
-		limit, cancel := context.WithTimeout(ctx, 2*each)
-		err := t.opt.Council.Renew(limit, r)
-		cancel()
-		switch {
-		case err == nil:
-			t.mu.Lock()
-			t.hold = t.hold.Renewed(asked, t.opt.Lease)
-			t.mu.Unlock()
-		case fenced(err):
-			t.lost(err)
-			return
-		}
-	}
-}
-
-func fenced(err error) bool {
-	var e *protocol.Error
-	return errors.As(err, &e) && e.Code == protocol.CodeFenced
 }
 
 // attend raises the token at an agent, and looks at it from then on.
@@ -263,9 +152,6 @@
 	every := time.NewTicker(lookEvery)
 	defer every.Stop()
 	raised := false
-	t.mu.Lock()
-	fence := t.hold.Fence
-	t.mu.Unlock()
 	for {
 		limit, cancel := context.WithTimeout(ctx, lookWithin)
 		began := time.Now() // what an answer tells may be as old as its question
@@ -275,7 +161,7 @@
 			list, err = a.Instances(limit)
 		} else {
 			var r protocol.Raised
-			r, err = a.Raise(limit, fence)
+			r, err = a.Raise(limit, t.fence)
 			list = r.Instances
 		}
 		cancel()
@@ -324,7 +210,7 @@
 
 // loop decides and begins until the tenure ends.
 func (t *tenure) loop(ctx context.Context) {
-	desk, began := rollout.NewDesk(), time.Now()
+	desk := rollout.NewDesk()
 	every := time.NewTicker(decideEach)
 	defer every.Stop()
 	for {
@@ -340,12 +226,7 @@
 		case <-every.C:
 		}
 		v, ok := t.opt.Council.Known()
-		switch {
-		case !ok, !t.mine(v) && time.Since(began) > t.opt.Lease:
-			// Renewals may go on by way of others; a duty that is kept so does nothing.
-			t.lost(errBlind)
-			return
-		case !t.mine(v):
+		if !t.sees(v, ok) {
 			continue // this voter has yet to hear what the leader knows
 		}
 		if !open(v.Jobs) && desk.Busy() == 0 {
@@ -358,15 +239,13 @@
 		}
 		seen, raw := t.seen()
 		to := desk.Next(time.Now(), v.Jobs, seen)
-		t.mu.Lock()
-		t.says = to.Says
-		t.mu.Unlock()
+		t.say(to.Says)
 		for _, step := range to.Leave {
 			_, _ = t.mark(ctx, step, duty.Left, "it is drained, and stays so") // or at the next turn
 		}
 		for job, why := range to.Stop {
 			t.log.Warn("a job is stopped", "job", job, "why", why)
-			_, _ = t.opt.Council.Do(ctx, duty.Command{Stop: &duty.Stop{Token: t.hold.Token, Job: job, Why: why}}) // or at the next turn
+			_, _ = t.opt.Council.Do(ctx, duty.Command{Stop: &duty.Stop{Token: t.fence.Token, Job: job, Why: why}}) // or at the next turn
 		}
 		for _, step := range to.Begin {
 			i := raw[step.Target.Key()]
@@ -381,11 +260,6 @@
 	}
 }
 
-// mine tells whether this voter's own view has come as far as this tenure.
-func (t *tenure) mine(v duty.View) bool {
-	return slices.ContainsFunc(v.Duties, func(d duty.Owned) bool { return d.Name == t.hold.Duty && d.Token >= t.hold.Token })
-}
-
 // observe looks at what each open job's instances answer. What it was before a job began is
 // written down by its first owner, and judged by from then on.
 func (t *tenure) observe(ctx context.Context, jobs []*duty.Job, desk *rollout.Desk) {
@@ -408,7 +282,7 @@
 			case looks == 0 || looks == h.judged:
 			case j.Before == nil && looks >= baseLooks:
 				h.judged = looks
-				base := duty.Base{Token: t.hold.Token, Job: j.ID, Answers: c}
+				base := duty.Base{Token: t.fence.Token, Job: j.ID, Answers: c}
 				if _, err := t.opt.Council.Do(ctx, duty.Command{Base: &base}); err != nil {
 					t.log.Debug("what was before is not written yet", "job", j.ID, "err", err)
 				}
@@ -463,7 +337,7 @@
 
 // mark writes a step of a job down, as often as it takes, and gives it as it is then.
 func (t *tenure) mark(ctx context.Context, step rollout.Step, phase, text string) (duty.Step, error) {
-	m := duty.Mark{Token: t.hold.Token, Job: step.Job.ID, Key: step.Target.Key(), Phase: phase, Text: text, Forgotten: text == forgotten}
+	m := duty.Mark{Token: t.fence.Token, Job: step.Job.ID, Key: step.Target.Key(), Phase: phase, Text: text, Forgotten: text == forgotten}
 	if phase == duty.Intent {
 		m.At = time.Now().Truncate(time.Millisecond)
 	}
@@ -548,7 +422,7 @@
 		if !t.good() {
 			return duty.Waiting, ""
 		}
-		fence := t.hold.Fence
+		fence := t.fence
 		_, err := a.Open(ctx, protocol.CommandRequest{
 			ID: id, Kind: step.Job.Kind, Instances: []protocol.Seen{{Name: name, Generation: i.Generation}},
 			Plan: fmt.Sprintf(`{"job":%q}`, step.Job.ID), Resume: true, Fence: &fence, OnBehalf: step.Job.Operator,
@@ -643,15 +517,6 @@
 	return duty.Failed, o.Reason
 }
 
-// note says why a job waits, until the next decision says otherwise.
-func (t *tenure) note(job, text string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	says := maps.Clone(t.says)
-	says[job] = text
-	t.says = says
-}
-
 func (t *tenure) job(id string) (*duty.Job, bool) {
 	v, ok := t.opt.Council.Known()
 	if !ok {
--- a/internal/fleet/protocol/protocol.go
+++ b/internal/fleet/protocol/protocol.go
@@ -14,6 +14,8 @@
 //	POST   /v1/commands/{id}/abort                Command
 //	GET    /v1/commands/{id}/run/{instance}       Operation; ?wait=MS waits for its end
 //	POST   /v1/fence                              Fence -> Raised
+//	GET    /v1/fleet                              Fleet
+//	POST   /v1/fleet                              FleetOrder -> Fleet
 //	GET    /v1/recovery                           Recovery
 //	POST   /v1/recovery/{instance}                Decision -> Instance
 //
@@ -26,6 +28,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"otterstep/internal/cordon"
 )
 
 const (
@@ -42,6 +46,9 @@
 	// WaitMost bounds how long a call may wait for an operation's end.
 	WaitMost = 30 * time.Second
 
+	// WordsMost bounds a reason or a note, in bytes; see Clip.
+	WordsMost = 200
+
 	// LeaseFor is how long a command holds its instances without being renewed: a
 	// tool that dies frees them after this.
 	LeaseFor = 10 * time.Second
@@ -90,6 +97,39 @@
 	Instances []Instance `json:"instances"`
 }
 
+// Fleet is how far the fleet's word has come at an agent and its instances. Nothing here is claimed that an
+// instance's present process has not confirmed.
+type Fleet struct {
+	Agent   string        `json:"agent"`
+	Version Token         `json:"version"` // the latest that the agent has on its disk
+	Token   Token         `json:"token"`
+	Heard   time.Duration `json:"heard_ns"` // since the agent heard that nothing later was said
+	Known   bool          `json:"heard"`    // it has heard so since its start
+	// Instances are those that have a control socket.
+	Instances []Told `json:"instances"`
+}
+
+// FleetOrder is what the owner of the fleet's duty says to an agent, behind its token: which version is the
+// latest, with the word if the agent lacks it.
+type FleetOrder struct {
+	Version Token        `json:"version"`
+	Word    *cordon.Word `json:"word,omitempty"`
+}
+
+// Told is how far the fleet's word has come at an instance.
+type Told struct {
+	Instance string    `json:"instance"`
+	Group    string    `json:"group,omitempty"`
+	Zone     string    `json:"zone,omitempty"` // its label "zone"
+	Version  Token     `json:"version"`        // that its present process has confirmed last
+	Since    time.Time `json:"since,omitzero"` // when it confirmed that
+	Waits    string    `json:"waits,omitempty"`
+	Runs     bool      `json:"runs"`
+	Listed   int       `json:"listed,omitempty"`
+	Missing  []string  `json:"missing,omitempty"` // servers that are out and that its list does not name
+	Hand     []string  `json:"by_hand,omitempty"` // servers that are out by hand, at this instance alone
+}
+
 // Recovery is what an agent knows of its own memory, and what it holds for that.
 type Recovery struct {
 	Agent     string `json:"agent"`
@@ -341,3 +381,11 @@
 
 // Name is the form of an agent's, instance's or group's name.
 var Name = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// Clip bounds what is said of a thing; more than WordsMost is cut off.
+func Clip(words string) string {
+	if len(words) <= WordsMost {
+		return words
+	}
+	return strings.ToValidUTF8(words[:WordsMost], "") + "…"
+}
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -24,6 +24,7 @@
 	Hand    []cordon.Entry `json:"hand"`
 	Known   []string       `json:"known,omitempty"` // servers that were listed once and are gone
 	Drained life.Drained   `json:"drained"`
+	Word    *cordon.Word   `json:"word,omitempty"` // the fleet's latest
 }
 
 // Holds is what a process has open.
@@ -38,6 +39,7 @@
 	Version int           `json:"v,omitempty"` // in the first one
 	State   *State        `json:"state,omitempty"`
 	Entry   *cordon.Entry `json:"entry,omitempty"`
+	Word    *cordon.Word  `json:"word,omitempty"` // the fleet's
 	Drained *life.Drained `json:"drained,omitempty"`
 	Serving bool          `json:"serving,omitempty"`
 	Holds   *Holds        `json:"holds,omitempty"`
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -52,6 +52,7 @@
 	Hand      []cordon.Entry   `json:"hand,omitempty"`
 	Held      bool             `json:"held,omitempty"` // an operator has it stay as it is, but for calls by hand
 	Memory    *policy.Memory   `json:"memory,omitempty"`
+	Fleet     *cordon.Word     `json:"fleet,omitempty"` // the fleet's latest
 }
 
 // check finds what makes a view unfit for use.
--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -27,6 +27,7 @@
 	sip     *sip.Front // nil where it is off
 	webs    *web.Fronts
 	comes   *returning // nil where nothing is kept
+	fleet   *fleetWord // nil where the fleet's word is not taken
 	state   func() life.State
 	started time.Time
 
@@ -60,6 +61,14 @@
 	return i.comes.keep(k)
 }
 
+// Tell implements control.Node.
+func (i *inspector) Tell(ctx context.Context, w control.Word) (control.Fleet, error) {
+	if i.fleet == nil {
+		return control.Fleet{}, control.ErrNoFleet
+	}
+	return i.fleet.tell(ctx, w)
+}
+
 // Inspect implements control.Node: it puts together what the loop and the other parts know.
 func (i *inspector) Inspect(ctx context.Context) (control.Inspection, error) {
 	state := i.state().String()
@@ -77,6 +86,9 @@
 	if i.comes != nil {
 		a.Return = i.comes.inspect()
 	}
+	if i.fleet != nil {
+		a.Fleet = i.fleet.inspect()
+	}
 	if i.sip != nil {
 		if a.SIP, err = i.inspectSIP(ctx); err != nil {
 			return control.Inspection{}, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,17 @@
 	return serve(ctx, cfg, op, listener, reloads, log)
 }
 
+// both has two parts told of the list, if there is a second one.
+func both(first, second func(all bool, targets []target)) func(all bool, targets []target) {
+	if second == nil {
+		return first
+	}
+	return func(all bool, targets []target) {
+		first(all, targets)
+		second(all, targets)
+	}
+}
+
 // memoryLimit is the collector's, in bytes.
 func memoryLimit(mb int) int64 { return int64(mb) << 20 * 3 / 4 }
 
@@ -120,18 +131,19 @@
 		defer comes.close()
 		disco.listed = comes.listed
 	}
+	var fleet *fleetWord // nil where the fleet's word is not taken
+	if wait := op.Fleet.Wait.Duration; wait > 0 {
+		fleet = newFleetWord(wait, ops, log)
+		disco.listed = both(ops.listed, disco.listed)
+	}
 	if cfg.Operator != "" {
 		entrance, err := net.Listen("tcp", cfg.Operator)
 		if err != nil {
 			return fmt.Errorf("operator: %w", err)
 		}
 		log.Info("operators' door", "listen", entrance.Addr().String())
-		disco.listed = ops.listed
-		if comes != nil {
-			disco.listed = func(all bool, targets []target) {
-				ops.listed(all, targets)
-				comes.listed(all, targets)
-			}
+		if fleet == nil {
+			disco.listed = both(ops.listed, disco.listed)
 		}
 		answered := make(chan struct{})
 		d := door.New(entrance, ops, log)
@@ -175,13 +187,16 @@
 		log.Info("ready", "node", cfg.Name, "listen", listener.Addr().String())
 	}
 	go func() {
+		if fleet != nil { // nothing is listed before, so that nothing is sent anywhere
+			fleet.await(background)
+		}
 		if comes == nil || !comes.begin(background, cfg.Known) {
 			disco.begin(cfg.Known)
 		}
 		disco.run(background)
 	}()
 	watcher := newInspector(cfg, listener.Addr().String(), l, clients, calls, webs)
-	watcher.comes = comes
+	watcher.comes, watcher.fleet = comes, fleet
 	go reloads.follow(background, cfg, func(addr string) { disco.move(background, addr) }, watcher.reloaded, log)
 	go func() {
 		for every := time.Tick(time.Second); background.Err() == nil; <-every {
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,10 +30,11 @@
 
 	mu   sync.Mutex // held over a call's effect: calls take effect in one order
 	hand *cordon.Set
+	owed map[string]struct{} // servers of which the loop has not heard yet what the fleet says
 }
 
 func newOperations(l *life.Life, loop *core.Loop, log *slog.Logger) *operations {
-	return &operations{life: l, loop: loop, log: log, hand: cordon.New()}
+	return &operations{life: l, loop: loop, log: log, hand: cordon.New(), owed: map[string]struct{}{}}
 }
 
 var errNotServing = errors.New("no list of servers is in place yet")
@@ -48,11 +50,22 @@
 // Cordon implements door.Node.
 func (o *operations) Cordon(ctx context.Context, id string, out bool) error {
 	e, err := o.cordon(ctx, id, out)
-	if err != nil || e.Stamp == 0 { // a call back of what was never out
+	if err != nil {
 		return err
 	}
-	// Each process tells the other with nothing held: both may do so at once.
-	return o.spread(ctx, handover.Message{Entry: &e})
+	if e.Stamp != 0 { // else a call back of what was never out
+		// Each process tells the other with nothing held: both may do so at once.
+		if err := o.spread(ctx, handover.Message{Entry: &e}); err != nil {
+			return err
+		}
+	}
+	o.mu.Lock()
+	ban, banned := o.hand.Banned(id)
+	o.mu.Unlock()
+	if banned && !out {
+		return fmt.Errorf("%w: no call by hand leaves server %q out here any more, but the fleet does, by %s: %s; otterctl unban ends that", door.ErrRefused, id, ban.By, ban.Reason)
+	}
+	return nil
 }
 
 // spread tells of a call that has taken effect here, also one that changed nothing: the other
@@ -82,7 +95,7 @@
 		return e, fmt.Errorf("%w: server %q: %w", door.ErrRefused, id, err)
 	}
 	// A repeated call is carried out again: the one before may have failed half-way.
-	if err := o.loop.Cordon(ctx, serverID(id), out, o.loop.Clock().Now()); err != nil {
+	if err := o.loop.Cordon(ctx, serverID(id), o.hand.Out(id), o.loop.Clock().Now()); err != nil {
 		return e, fmt.Errorf("server %q: %w", id, err)
 	}
 	if changed {
@@ -112,7 +125,7 @@
 	for _, e := range changed {
 		o.log.Info("by hand, as another process was told", "uid", e.ID, "out", e.Out, "stamp", e.Stamp)
 		called := o.loop.Clock().FromUnixMs(e.At.UnixMilli())
-		for _, out := range []bool{true, e.Out} { // back from where it was never out changes nothing
+		for _, out := range []bool{true, o.hand.Out(e.ID)} { // back from where it was never out changes nothing
 			if err := o.loop.Cordon(context.Background(), serverID(e.ID), out, called); err != nil {
 				o.log.Error("a call by hand is not in force here", "uid", e.ID, "err", err)
 			}
@@ -120,6 +133,56 @@
 	}
 }
 
+// take takes the fleet's word in, unless a later one has been here. It is in force when take returns.
+func (o *operations) take(ctx context.Context, w cordon.Word) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	before := o.hand.Word()
+	began, ended, err := o.hand.Take(w)
+	if err != nil {
+		return err
+	}
+	for _, id := range slices.Concat(began, ended) {
+		o.owed[id] = struct{}{}
+	}
+	now := o.loop.Clock().Now()
+	for id := range o.owed { // also what a word before could not bring about, as the loop was too busy
+		if err := o.loop.Cordon(ctx, serverID(id), o.hand.Out(id), now); err != nil {
+			return fmt.Errorf("server %q: %w", id, err)
+		}
+		delete(o.owed, id)
+	}
+	if w.Version != before.Version {
+		o.log.Info("the fleet's word", "version", w.Version, "token", w.Token, "out", len(w.Bans), "began", began, "ended", ended)
+	}
+	return nil
+}
+
+// word gives the fleet's latest.
+func (o *operations) word() cordon.Word {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.hand.Word()
+}
+
+// standing tells what of the fleet's word is not as one would think: servers that it names and the list does
+// not, and those that are out by hand; and how many are listed.
+func (o *operations) standing() (missing, byHand []string, listed int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, b := range o.hand.Word().Bans {
+		if !o.hand.Lists(b.ID) {
+			missing = append(missing, b.ID)
+		}
+	}
+	for _, e := range o.hand.Entries() {
+		if e.Out {
+			byHand = append(byHand, e.ID)
+		}
+	}
+	return missing, byHand, o.hand.Size()
+}
+
 // Quiesce implements door.Node.
 func (o *operations) Quiesce(ctx context.Context) error {
 	if o.life.State() == life.Ending {
--- a/internal/node/operations_test.go
+++ b/internal/node/operations_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/cordon"
 	"otterstep/internal/core"
 	"otterstep/internal/life"
 	"otterstep/internal/operator"
@@ -255,36 +256,66 @@
 	}
 }
 
-// A call back that failed half-way, as the loop was too busy, takes effect when it is repeated.
-func TestRepeatedCallBackTakesEffect(t *testing.T) {
-	free := make(chan struct{}) // the loop is busy with the dropped server's connections until then
+// busyLoop gives operations at a server s1 that is out, at a loop that hears nothing more until it is freed.
+func busyLoop(t *testing.T, out func(*operations) error) (o *operations, serving func() int, free func()) {
+	gate := make(chan struct{}) // the loop is busy with the dropped server's connections until then
 	l, err := core.New(core.Options{
-		Settings: siteOf(t, settings).Settings, Seed: 1, Clock: core.NewClock(), Watch: func() {}, Drop: func(core.Server) { <-free },
+		Settings: siteOf(t, settings).Settings, Seed: 1, Clock: core.NewClock(), Watch: func() {}, Drop: func(core.Server) { <-gate },
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	go l.Run(t.Context())
 	l.Members(policy.ListFull, []policy.Entry{{Server: serverID("s1"), State: policy.Ready}}, []string{"127.0.0.1:1"})
-	o := newOperations(new(life.Life), l, quiet())
+	o = newOperations(new(life.Life), l, quiet())
 	o.listed(true, []target{{UID: "s1", State: "in_service"}})
-	if err := o.Cordon(t.Context(), "s1", true); err != nil {
+	if err := out(o); err != nil {
 		t.Fatal(err)
 	}
 	for range 256 { // all that the loop's queue holds
 		l.Share(1)
 	}
+	return o, func() int {
+		v, err := l.Inspect(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(v.Servers)
+	}, func() { close(gate) }
+}
+
+// A call back that failed half-way, as the loop was too busy, takes effect when it is repeated.
+func TestRepeatedCallBackTakesEffect(t *testing.T) {
+	o, serving, free := busyLoop(t, func(o *operations) error { return o.Cordon(t.Context(), "s1", true) })
 	busy, cancel := context.WithCancel(t.Context())
 	cancel()
 	if err := o.Cordon(busy, "s1", false); err == nil {
 		t.Fatal("a busy loop takes a call back")
 	}
-	close(free)
+	free()
 	if err := o.Cordon(t.Context(), "s1", false); err != nil {
 		t.Fatal(err)
 	}
-	v, err := l.Inspect(t.Context())
-	if err != nil || len(v.Servers) != 1 {
-		t.Errorf("%d servers serve, %v; the call back had no effect", len(v.Servers), err)
+	if n := serving(); n != 1 {
+		t.Errorf("%d servers serve; the call back had no effect", n)
+	}
+}
+
+// So does a word of the fleet's that is told again, though nothing in it is new by then.
+func TestRepeatedWordTakesEffect(t *testing.T) {
+	o, serving, free := busyLoop(t, func(o *operations) error {
+		return o.take(t.Context(), cordon.Word{Version: 1, Bans: []cordon.Ban{{ID: "s1"}}})
+	})
+	busy, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := o.take(busy, cordon.Word{Version: 2}); err == nil {
+		t.Fatal("a busy loop takes a word")
+	}
+	free()
+	if err := o.take(t.Context(), cordon.Word{Version: 2}); err != nil {
+		t.Fatal(err)
+	}
+	if n := serving(); n != 1 {
+		t.Errorf("%d servers serve; the end of the ban had no effect", n)
 	}
 }
--- a/internal/node/returning.go
+++ b/internal/node/returning.go
@@ -82,6 +82,11 @@
 	if len(v.Hand) > 0 { // a ban by hand never fades
 		r.ops.merge(nil, v.Hand)
 	}
+	if v.Fleet != nil { // nor does one of the fleet's, until a later word
+		if err := r.ops.take(ctx, *v.Fleet); err != nil {
+			r.log.Error("the fleet's word that was kept is of no use", "err", err)
+		}
+	}
 	var use []target
 	for _, s := range v.Servers {
 		line := confidence.Line{UID: s.UID, Endpoint: s.Endpoint, BootMs: s.BootMs}
@@ -241,6 +246,9 @@
 	r.changed = false
 	r.mu.Unlock()
 	v.Hand, v.Saved = hand, stamp()
+	if w := r.ops.word(); w.Version > 0 {
+		v.Fleet = &w
+	}
 	if heard {
 		mem, err := r.loop.Learnt(ctx)
 		if err != nil {
--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -103,7 +103,11 @@
 // state is what operators have said so far.
 func (s *succession) state() handover.State {
 	hand, known := s.ops.said()
-	return handover.State{Name: s.cfg.Name, Hand: hand, Known: known, Drained: s.ops.life.Drained()}
+	st := handover.State{Name: s.cfg.Name, Hand: hand, Known: known, Drained: s.ops.life.Drained()}
+	if w := s.ops.word(); w.Version > 0 {
+		st.Word = &w
+	}
+	return st
 }
 
 // keep puts it on the disk. Nothing depends on it while the process lives.
@@ -122,6 +126,16 @@
 func (s *succession) merge(st handover.State) {
 	s.ops.merge(st.Known, st.Hand)
 	s.ops.life.Merge(time.Now(), st.Drained)
+	if st.Word != nil {
+		s.word(*st.Word)
+	}
+}
+
+// word takes in what the fleet told the other process. One that is older than what was told here is no news.
+func (s *succession) word(w cordon.Word) {
+	if err := s.ops.take(context.Background(), w); err != nil && !errors.Is(err, cordon.ErrOld) {
+		s.log.Error("the fleet's word, as another process was told, is not in force here", "err", err)
+	}
 }
 
 // meet makes a link the process's own, and gives it up when the other process ends; false if
@@ -156,6 +170,9 @@
 		if s.ops.save != nil { // the one of both processes that owns the file writes it
 			s.ops.save()
 		}
+	case m.Word != nil:
+		s.word(*m.Word)
+		s.keep()
 	case m.Drained != nil:
 		s.ops.life.Merge(time.Now(), *m.Drained)
 		s.keep()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -15,6 +15,9 @@
 // KeptEvery is how old what a node keeps may become, unless the file says otherwise.
 const KeptEvery = 30 * time.Second
 
+// FleetWaitMost bounds how long a node may hold back for the fleet's word.
+const FleetWaitMost = 30 * time.Second
+
 // File is the operator's file; its zero value is a node with everything off.
 type File struct {
 	Control struct {
@@ -32,6 +35,11 @@
 		// Every is how old it may become while nothing changes.
 		Every tomlfile.Duration `toml:"every"`
 	} `toml:"kept"`
+	Fleet struct {
+		// Wait is how long the node holds back from serving for the fleet's word, which its agent brings over
+		// the control socket; 0: the node takes none.
+		Wait tomlfile.Duration `toml:"wait"`
+	} `toml:"fleet"`
 	// SIP is the front for calls, off without a listener.
 	SIP sip.Config `toml:"sip"`
 	// Web are the fronts for ordinary HTTP, none if the file has none.
@@ -66,6 +74,12 @@
 	case k.File != "" && k.Every.Duration < time.Second:
 		f.Bad("kept.every", "%v would wear the disk out, 1s is the least", k.Every.Duration)
 	}
+	switch w := file.Fleet.Wait.Duration; {
+	case w < 0 || w > FleetWaitMost:
+		f.Bad("fleet.wait", "%v, up to %v can be", w, FleetWaitMost)
+	case w > 0 && file.Control.Socket == "":
+		f.Bad("fleet.wait", "the fleet's word comes over control.socket, which is not given")
+	}
 	file.SIP.Check(f)
 	web.CheckAll(f, file.Web)
 	if err := f.Err(); err != nil {
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"otterstep/internal/control"
+	"otterstep/internal/cordon"
 	"otterstep/internal/fleet/instance"
 )
 
@@ -46,6 +47,7 @@
 	pid     int
 	started time.Time
 	reloads int
+	words   *cordon.Set // the fleet's
 	done    chan struct{}
 	state   string
 }
@@ -159,7 +161,7 @@
 		}
 		m.last++
 		m.tokens[i.Name] = token
-		started := &process{machine: m, name: i.Name, token: token, pid: m.last, started: time.Now(), done: make(chan struct{})}
+		started := &process{machine: m, name: i.Name, token: token, pid: m.last, started: time.Now(), words: cordon.New(), done: make(chan struct{})}
 		m.running[i.Name] = started
 		p, pid = handle{started, r}, started.pid
 		return nil
@@ -202,6 +204,22 @@
 	return control.ErrNothingKept
 }
 
+// Tell implements instance.Runner, as a node does.
+func (r *Runner) Tell(_ context.Context, i instance.Spec, w control.Word) (is control.Fleet, err error) {
+	err = r.do(func() error {
+		p := r.machine.running[i.Name]
+		if p == nil {
+			return errors.New("nobody listens")
+		}
+		if _, _, err := p.words.Take(w.Word); err != nil {
+			return fmt.Errorf("%w: %w", control.ErrOldWord, err)
+		}
+		is = control.Fleet{Version: w.Version, Token: w.Token, Since: time.Now(), Sure: w.Sure, Bans: len(w.Bans), Listed: len(servers)}
+		return nil
+	})
+	return is, err
+}
+
 // Inspect implements instance.Runner.
 func (r *Runner) Inspect(_ context.Context, i instance.Spec) (a control.Inspection, err error) {
 	err = r.do(func() error {
--- a/internal/standin/lab/fleet.go
+++ b/internal/standin/lab/fleet.go
@@ -75,6 +75,9 @@
 				return err
 			}
 		}
+		if l.opt.Fleet > 0 {
+			conf["fleet"] = object{}
+		}
 		if err := writeTOML(file, conf); err != nil {
 			return err
 		}
@@ -143,6 +146,9 @@
 	if l.opt.Keep {
 		own["kept"] = object{"file": at(".kept"), "every": "1s"}
 	}
+	if l.opt.Fleet > 0 {
+		own["fleet"] = object{"wait": l.opt.Fleet.String()}
+	}
 	if err := writeTOML(at(".toml"), own); err != nil {
 		return i, nil, err
 	}
--- a/internal/standin/lab/lab.go
+++ b/internal/standin/lab/lab.go
@@ -46,6 +46,9 @@
 	Burst int
 	// Keep has each instance keep what it needs when it comes back with nobody to ask.
 	Keep bool
+	// Fleet, if set, has agents bring instances to what the council says that the fleet should be: it is how
+	// long an instance waits for that before it serves. It takes Council.
+	Fleet time.Duration
 	// Doors opens each instance's operators' door.
 	Doors bool
 	// FallMultiple is how many times what a cold box can do pushes it over; 3 if 0.
