The fleet's word between real processes: campaign, judge, and builds without the guard

Need: what is brought to nodes has to hold while nodes stop, agents are cut off one way and owners change. A clock that is set back keeps nobody from being looked at.

--- a/cmd/otterlab/faults.go
+++ b/cmd/otterlab/faults.go
@@ -83,6 +83,7 @@
 	f.Lookup("rate").DefValue = "20"
 	o.lab.Rate = 20
 	f.BoolVar(&d.Losses, "losses", false, "also take agents' memories and the council's stores away, with power cuts; no clients send")
+	f.BoolVar(&d.Words, "words", false, "change what the fleet should be, with faults between that and the nodes, in place of jobs; no clients send")
 	f.IntVar(&d.Faults, "faults", 12, "faults of a schedule")
 	f.IntVar(&d.Most, "max-unavailable", 1, "instances that each job may have away")
 	f.IntVar(&d.seeds, "seeds", 1, "how many seeds; 0: as many as fit --for")
@@ -192,6 +193,6 @@
 	for _, f := range run.Failed {
 		fmt.Fprintln(out, "  ", f)
 	}
-	fmt.Fprintf(out, "  its schedule:\n%s  again: otterlab faults --seed %d --faults %d --losses=%v --max-unavailable %d --instances %d --agents %d --lease %v\n",
-		run.Schedule, run.Seed, d.Faults, d.Losses, d.Most, o.lab.Instances, o.lab.Agents, o.lab.Council.Lease)
+	fmt.Fprintf(out, "  its schedule:\n%s  again: otterlab faults --seed %d --faults %d --losses=%v --words=%v --max-unavailable %d --instances %d --agents %d --lease %v\n",
+		run.Schedule, run.Seed, d.Faults, d.Losses, d.Words, d.Most, o.lab.Instances, o.lab.Agents, o.lab.Council.Lease)
 }
--- a/internal/fleet/agent/herald.go
+++ b/internal/fleet/agent/herald.go
@@ -92,7 +92,13 @@
 	w.Token = uint64(token)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return control.Word{Word: w, Sure: h.known && h.clock.Now()-h.heard < sureFor}
+	return control.Word{Word: w, Sure: h.sure()}
+}
+
+// sure needs mu.
+func (h *herald) sure() bool {
+	age := h.clock.Now() - h.heard
+	return h.known && age >= 0 && age < sureFor
 }
 
 // attend tells one instance.
@@ -170,8 +176,11 @@
 // hear notes that nothing later than what the agent has was said by now.
 func (h *herald) hear(at time.Duration) {
 	h.mu.Lock()
-	unsure := !h.known || h.clock.Now()-h.heard >= sureFor
-	h.heard, h.known = max(h.heard, at), true
+	unsure := !h.sure()
+	if at > h.heard || h.heard > h.clock.Now() { // the latter: the clock was set back
+		h.heard = at
+	}
+	h.known = true
 	h.mu.Unlock()
 	if unsure {
 		h.wake("")
@@ -252,7 +261,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if is.Known = h.known; h.known {
-		is.Heard = h.clock.Now() - h.heard
+		is.Heard = max(0, h.clock.Now()-h.heard)
 	}
 	for _, name := range h.agent.order {
 		t := h.tells[name]
--- a/internal/fleet/owner/keeper.go
+++ b/internal/fleet/owner/keeper.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		s.reach(ctx)
-		if now := s.opt.Clock.Now(); now-s.counted >= countEvery {
+		if now := s.opt.Clock.Now(); now < s.counted || now-s.counted >= countEvery {
 			s.counted = now
 			s.count(ctx, now)
 		}
--- a/internal/fleet/reconcile/reconcile.go
+++ b/internal/fleet/reconcile/reconcile.go
@@ -34,7 +34,10 @@
 }
 
 // fresh tells whether anything may be decided by it.
-func (s Seen) fresh(now time.Duration) bool { return s.Known && now-s.At < Fresh }
+func (s Seen) fresh(now time.Duration) bool { return s.Known && now >= s.At && now-s.At < Fresh }
+
+// passed tells whether so much time has passed since it was asked; also if the clock was set back since.
+func (s Seen) passed(now, d time.Duration) bool { return now < s.Asked || now-s.Asked >= d }
 
 // Step is a call to one agent.
 type Step struct {
@@ -54,11 +57,11 @@
 		case !s.Tried:
 			due = true
 		case s.Err != "":
-			due = now-s.Asked >= AgainAfter
+			due = s.passed(now, AgainAfter)
 		case behind:
 			due = true
 		default:
-			due = now-s.Asked >= LookEvery
+			due = s.passed(now, LookEvery)
 		}
 		if due {
 			// Of one that this owner has never seen the version is not known: it is told, and says so if it has it.
@@ -129,14 +132,16 @@
 // counts on from what was written down last, so that a ban lasts at least as long as it was meant to, and
 // longer by what was not written at each change of owners.
 type Countdown struct {
-	began map[string]counted
-	noted time.Duration
+	began  map[string]counted
+	last   time.Duration // on the clock
+	passed time.Duration // counted since the first call; a clock that is set back adds nothing
+	noted  time.Duration // of passed
 }
 
 type counted struct {
 	since desired.Version
 	left  time.Duration
-	at    time.Duration
+	at    time.Duration // of passed
 }
 
 // noteShare is the share of what is left of a ban that may pass without being written down, noteLeast the
@@ -149,8 +154,10 @@
 // Count gives the bans that are over, and what is left of others if that is to be written down now.
 func (c *Countdown) Count(now time.Duration, s *desired.State) (over []desired.End, left map[string]time.Duration) {
 	if c.began == nil {
-		c.began, c.noted = map[string]counted{}, now
+		c.began, c.last = map[string]counted{}, now
 	}
+	c.passed += max(0, now-c.last)
+	c.last = now
 	maps.DeleteFunc(c.began, func(id string, b counted) bool { return s.Since[id] != b.since })
 	least := time.Duration(0)
 	for _, id := range slices.Sorted(maps.Keys(s.Document.Bans)) {
@@ -159,10 +166,10 @@
 			continue
 		}
 		if _, known := c.began[id]; !known {
-			c.began[id] = counted{s.Since[id], b.Left, now}
+			c.began[id] = counted{s.Since[id], b.Left, c.passed}
 		}
 		is := c.began[id]
-		rest := is.left - (now - is.at)
+		rest := is.left - (c.passed - is.at)
 		if rest <= 0 {
 			over = append(over, desired.End{Server: id, Since: is.since})
 			continue
@@ -175,9 +182,9 @@
 			least = rest
 		}
 	}
-	if len(left) == 0 || now-c.noted < max(noteLeast, least/noteShare) {
+	if len(left) == 0 || c.passed-c.noted < max(noteLeast, least/noteShare) {
 		return over, nil
 	}
-	c.noted = now
+	c.noted = c.passed
 	return over, left
 }
--- a/internal/fleet/reconcile/reconcile_test.go
+++ b/internal/fleet/reconcile/reconcile_test.go
@@ -146,6 +146,9 @@
 			if n < 40 && rapid.IntRange(0, 9).Draw(t, "owner") == 0 {
 				c, clock = &Countdown{}, time.Duration(rapid.IntRange(0, 100).Draw(t, "clock"))*time.Second // on another machine
 			}
+			if n < 40 && rapid.IntRange(0, 9).Draw(t, "set") == 0 {
+				clock -= time.Hour
+			}
 			over, left := c.Count(clock, s)
 			for _, e := range over {
 				if passed < length {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -34,6 +34,7 @@
 
 // await holds the node back until it was told, or the wait is over.
 func (f *fleetWord) await(ctx context.Context) {
+	f.log.Info("waits for the fleet's word", "most", f.wait)
 	limit := time.NewTimer(f.wait)
 	defer limit.Stop()
 	select {
@@ -59,6 +60,7 @@
 // tell takes a word in. It is in force, with the other process of the node too, and on the disk when tell
 // returns.
 func (f *fleetWord) tell(ctx context.Context, w control.Word) (control.Fleet, error) {
+	before := f.ops.word().Version
 	switch err := f.ops.take(ctx, w.Word); {
 	case errors.Is(err, cordon.ErrOld):
 		return control.Fleet{}, fmt.Errorf("%w: %w", control.ErrOldWord, err)
@@ -69,6 +71,9 @@
 	again := f.version == w.Version && !f.since.IsZero()
 	f.mu.Unlock()
 	if !again {
+		if before == w.Version { // as it was kept, or nothing yet: what is new is that it was told
+			f.log.Info("the fleet's word", "version", w.Version, "token", w.Token, "out", len(w.Bans), "as", "before")
+		}
 		if err := f.ops.spread(ctx, handover.Message{Word: &w.Word}); err != nil {
 			return control.Fleet{}, err
 		}
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -50,6 +50,8 @@
 	FallFor      time.Duration
 	Cold         bool // it has just started
 	Seed         uint64
+	// Arrived, if set, is told of each request's id as it comes.
+	Arrived func(id string, at time.Time)
 }
 
 // Box is an app box on loopback. Its methods that change how it behaves may be
@@ -286,6 +288,9 @@
 	}
 	told, _ := b.discovery.ToldAll(b.opt.UID)
 	b.ledger.Arrived(id, b.opt.UID, now, told)
+	if b.opt.Arrived != nil {
+		b.opt.Arrived(id, now)
+	}
 
 	b.mu.Lock()
 	if b.push(now, class.Work) && !b.fell {
--- a/internal/standin/faults/check.go
+++ b/internal/standin/faults/check.go
@@ -74,6 +74,7 @@
 		}
 		highest[by.Duty] = max(highest[by.Duty], by.Token)
 	}
+	worded := uint64(0)
 	known := map[string]bool{}
 	entry := func(text json.RawMessage) error {
 		if known[string(text)] {
@@ -102,6 +103,15 @@
 			}
 		case e.Fence != nil:
 			raise(e.Fence.Fence, "a raise")
+		case e.Fleet != nil:
+			if e.Fleet.Fence != nil {
+				raise(*e.Fleet.Fence, "the fleet's word")
+			}
+			if w := e.Fleet.Word.Version; w < worded && len(paths) == 1 {
+				v.broken("%s: the fleet's version %d behind %d", agent, w, worded)
+			} else {
+				worded = w
+			}
 		case e.Open != nil && e.Open.Request.Fence != nil:
 			raise(*e.Open.Request.Fence, "command "+e.Open.Request.ID)
 			fences[e.Open.Request.ID] = *e.Open.Request.Fence
--- a/internal/standin/faults/schedule.go
+++ b/internal/standin/faults/schedule.go
@@ -24,11 +24,17 @@
 	DiskSlow  = "disk-slow"
 	ClockRate = "clock-rate" // of an agent, from then on
 	ClockJump = "clock-jump"
-	Submit    = "submit" // a job
-	Cancel    = "cancel" // the latest job
-	Pause     = "pause"  // the latest job, and resume it after For
-	Lose      = "lose"   // What of an agent's memory, with its agent killed and started again after For
-	PowerCut  = "power"  // likewise with its instances killed too
+	Submit    = "submit"    // a job
+	Cancel    = "cancel"    // the latest job
+	Pause     = "pause"     // the latest job, and resume it after For
+	Lose      = "lose"      // What of an agent's memory, with its agent killed and started again after For
+	PowerCut  = "power"     // likewise with its instances killed too
+	HoldWord  = "hold-word" // the fleet's word from one to another
+	NodeStop  = "node-stop" // a node's process, SIGSTOP, and SIGCONT after For
+	NodeKill  = "node-kill" // a node's process; its agent starts another one
+	Ban       = "ban"       // the fleet leaves a box out, for For if that is not 0
+	Unban     = "unban"     // and ends one such ban
+	Undo      = "undo"      // the latest change is taken back
 )
 
 // What an agent may lose. Old ones are put back as they were before the schedule began.
@@ -56,6 +62,11 @@
 
 var steps = []string{owner.BeforeIntent, owner.BeforeSend, owner.AfterSend, owner.AfterEnd, owner.BetweenOrders}
 
+// WordKinds are those between an operator's word on the fleet and the nodes.
+var WordKinds = []string{Kill, Stop, StopAt, KillAt, CutOff, CutWay, HoldWord, ResetWay, DelayAll, DiskFails, ClockJump, NodeStop, NodeKill, NodeKill, Ban, Ban, Ban, Unban, Unban, Undo}
+
+var wordSteps = []string{owner.BeforeWord, owner.AfterWord}
+
 // Fault is one fault of a schedule.
 type Fault struct {
 	After time.Duration // since the fault before it began
@@ -68,6 +79,8 @@
 	Rate  float64
 	Jump  time.Duration
 	What  string // is lost
+	Node  int    // counted from 0
+	Box   int    // likewise
 }
 
 // String words a fault.
@@ -84,10 +97,14 @@
 		if f.Back {
 			what += ", answers"
 		}
-	case HoldWay, ResetWay:
+	case HoldWay, ResetWay, HoldWord:
 		what += " " + a + " to " + b
 	case Lose, PowerCut:
 		what += " " + a + " and " + f.What
+	case NodeStop, NodeKill:
+		what += fmt.Sprint(" n", f.Node+1)
+	case Ban:
+		what += fmt.Sprint(" s", f.Box+1)
 	case ClockRate:
 		what += fmt.Sprintf(" %s %.2f", a, f.Rate)
 	case ClockJump:
@@ -161,3 +178,34 @@
 	}
 	return all
 }
+
+// DrawWords makes the schedule of a seed for the fleet's word: changes by operators, and faults between them and
+// so many nodes, with so many boxes.
+func DrawWords(seed uint64, agents, nodes, boxes, n int, lease time.Duration) Schedule {
+	rng := rand.New(rand.NewPCG(seed, 34))
+	span := func(from, to float64) time.Duration {
+		return time.Duration((from + rng.Float64()*(to-from)) * float64(lease)).Round(time.Millisecond)
+	}
+	all := Schedule{{Kind: Ban, Box: rng.IntN(boxes)}}
+	for len(all) < n {
+		f := Fault{
+			After: span(0, 0.8), For: span(0.1, 2.5), Kind: WordKinds[rng.IntN(len(WordKinds))], Agent: rng.IntN(agents),
+			Step: wordSteps[rng.IntN(len(wordSteps))], Node: rng.IntN(nodes), Box: rng.IntN(boxes), Back: rng.IntN(2) == 0,
+		}
+		f.Other = (f.Agent + 1 + rng.IntN(agents-1)) % agents
+		switch f.Kind {
+		case DelayAll:
+			f.For /= 4
+		case ClockJump:
+			f.Jump, f.For = time.Duration(rng.IntN(7200)-3600)*time.Second, 0
+		case Ban:
+			if f.For = f.For.Round(time.Second) + time.Second; rng.IntN(2) == 0 {
+				f.For = 0
+			}
+		case Unban, Undo, NodeKill:
+			f.For = 0
+		}
+		all = append(all, f)
+	}
+	return all
+}
--- a/internal/standin/lab/faultplay.go
+++ b/internal/standin/lab/faultplay.go
@@ -40,6 +40,8 @@
 	Away     int // at most, at once
 	Lost     int // memories
 	Drained  string
+	// Versions counts the changes of what the fleet should be, Lives the nodes' processes.
+	Versions, Lives int
 	// Served and Unserved are the clients' requests.
 	Served, Unserved int
 }
@@ -50,6 +52,9 @@
 	if r.Lost > 0 {
 		lost = fmt.Sprintf(", %d memories lost", r.Lost)
 	}
+	if r.Versions > 0 {
+		return fmt.Sprintf("%d faults, %d changes of the fleet, %d processes of nodes", len(r.Schedule), r.Versions, r.Lives)
+	}
 	return fmt.Sprintf("%d faults%s, %d jobs, %d effects, %d stopped by a newer token, %d changes of owner, %d away at most, served %d, not %d",
 		len(r.Schedule), lost, r.Jobs, r.Effects, r.Fenced, r.Changes, r.Away, r.Served, r.Unserved)
 }
@@ -63,6 +68,8 @@
 	r.Effects += o.Effects
 	r.Fenced += o.Fenced
 	r.Away = max(r.Away, o.Away)
+	r.Versions += o.Versions
+	r.Lives += o.Lives
 	r.Served += o.Served
 	r.Unserved += o.Unserved
 }
@@ -74,22 +81,40 @@
 	// Losses takes memories away too, from a fleet of which one instance was drained: it must
 	// never start again.
 	Losses bool
+	// Words plays operators' changes of what the fleet should be in place of jobs, with faults between these and
+	// the nodes.
+	Words bool
 }
 
 // PlayFaults plays a seed's schedule on a fleet of its own and judges it by what the
 // processes wrote down.
 func PlayFaults(ctx context.Context, opt Options, seed uint64, c Campaign) (FaultRun, error) {
 	opt.Seed = seed
-	run := FaultRun{Seed: seed, Schedule: faults.Draw(seed, opt.Agents, c.Faults, opt.Council.Lease, c.Losses)}
+	run := FaultRun{Seed: seed}
+	var words *wordPlay
+	if c.Words {
+		opt.Fleet, opt.Boxes, opt.Rate = opt.Council.Lease, wordBoxes, 0 // nodes that are killed take clients' requests along
+		words = watchWords(&opt)
+		run.Schedule = faults.DrawWords(seed, opt.Agents, opt.Instances, opt.Boxes, c.Faults, opt.Council.Lease)
+	} else {
+		run.Schedule = faults.Draw(seed, opt.Agents, c.Faults, opt.Council.Lease, c.Losses)
+	}
 	l, err := New(ctx, opt)
 	if err != nil {
 		return run, err
 	}
 	defer l.Close()
-	p := &faultPlayer{lab: l, run: &run, most: c.Most, orders: make([]faults.Orders, opt.Agents), killed: make([]int, opt.Agents), lost: make([]int, opt.Agents), old: make([]bool, opt.Agents)}
+	p := &faultPlayer{lab: l, run: &run, most: c.Most, orders: make([]faults.Orders, opt.Agents), killed: make([]int, opt.Agents), lost: make([]int, opt.Agents), old: make([]bool, opt.Agents), words: words}
 	if err := p.whole(ctx); err != nil {
 		return run, err
 	}
+	if words != nil {
+		words.begin(l)
+		defer words.end()
+		if err := words.counted(ctx); err != nil {
+			return run, err
+		}
+	}
 	if c.Losses {
 		if err := p.drain(ctx); err != nil {
 			return run, err
@@ -112,6 +137,9 @@
 	if err := p.heal(); err != nil {
 		return run, err
 	}
+	if words != nil {
+		return run, p.judgeWords(ctx)
+	}
 	return run, p.judge(ctx)
 }
 
@@ -125,7 +153,8 @@
 	lost   []int // how often each agent's memory was taken away in part
 	old    []bool
 	jobs   []string
-	heals  []heal // by time
+	heals  []heal    // by time
+	words  *wordPlay // nil: none of the fleet's
 }
 
 // heal ends a fault.
@@ -234,6 +263,14 @@
 		return err
 	}
 	l := p.lab
+	if p.words != nil {
+		if heal, mine := p.words.play(ctx, f); heal != nil {
+			p.after(f.For, heal)
+			return nil
+		} else if mine {
+			return nil
+		}
+	}
 	way := l.Relay(agentName(f.Agent), agentName(f.Other))
 	pass := func() error { way.Set(faults.Pass, faults.Pass); return nil }
 	switch f.Kind {
@@ -277,6 +314,9 @@
 	case faults.HoldWay:
 		way.HoldOnly("/run/")
 		p.after(f.For, pass)
+	case faults.HoldWord:
+		way.HoldOnly("/fleet")
+		p.after(f.For, pass)
 	case faults.ResetWay:
 		way.Set(faults.Reset, faults.Reset)
 		p.after(f.For, pass)
@@ -383,6 +423,9 @@
 		r.Set(faults.Pass, faults.Pass)
 		r.Delay(0)
 	}
+	if p.words != nil {
+		p.words.heal()
+	}
 	for n := range p.orders {
 		if err := p.order(n, func(o *faults.Orders) { *o = faults.Orders{Rate: o.Rate, Jump: o.Jump} }); err != nil {
 			return err
@@ -507,6 +550,36 @@
 	return nil
 }
 
+// judgeWords waits until every node has confirmed the latest version, and then reads what was written.
+func (p *faultPlayer) judgeWords(ctx context.Context) error {
+	began := time.Now()
+	limit, cancel := context.WithTimeout(ctx, healWithin)
+	defer cancel()
+	state, open := p.words.rest(limit)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	p.run.Rest = time.Since(began)
+	if open != "" {
+		p.run.Failed = append(p.run.Failed, fmt.Sprintf("not at rest %v after the last fault: %s", healWithin, open))
+	}
+	p.words.end()
+	if state == nil {
+		return nil
+	}
+	verdict, err := faults.Check(p.lab.Files())
+	if err != nil {
+		return err
+	}
+	broken, lives, err := p.words.judge(state)
+	if err != nil {
+		return err
+	}
+	p.run.Failed = append(append(p.run.Failed, verdict.Broken...), broken...)
+	p.run.Versions, p.run.Lives = len(state.History), lives
+	return nil
+}
+
 // troubles tells how often an instance was killed with its machine, and how often its agent lost
 // what it knew of orders.
 func (p *faultPlayer) troubles(key string) (cuts, lost int) {
--- a/internal/standin/lab/owner_test.go
+++ b/internal/standin/lab/owner_test.go
@@ -61,14 +61,22 @@
 	o.Agent, o.AgentEnv = []string{filepath.Join(dir, "otterlab"), "agent"}, nil
 }
 
-// changed builds the agent that follows orders with changes made. Tests call it before they run beside others:
-// a compiler next to many fleets on two cores has councils elect leaders for nothing.
+// changed builds the agent that follows orders with changes made, changedNode the node. Tests call these before they
+// run beside others: a compiler next to many fleets on two cores has councils elect leaders for nothing.
 func changed(t *testing.T, changes ...mutant.Change) string {
+	return mutated(t, "cmd/otterlab", changes)
+}
+
+func changedNode(t *testing.T, changes ...mutant.Change) string {
+	return mutated(t, "cmd/otterstep", changes)
+}
+
+func mutated(t *testing.T, program string, changes []mutant.Change) string {
 	t.Helper()
 	if _, err := programs(); err != nil { // likewise
 		t.Fatal(err)
 	}
-	bin, err := mutant.Build(t.TempDir(), "cmd/otterlab", changes...)
+	bin, err := mutant.Build(t.TempDir(), program, changes...)
 	if err != nil {
 		t.Fatal(err)
 	}
