--- a/internal/fleet/group/group_test.go
+++ b/internal/fleet/group/group_test.go
@@ -51,6 +51,12 @@
 
 // startHosts starts agents with as many instances each, named n1, n2 … throughout.
 func startHosts(t testing.TB, agents, each int) []*host {
+	t.Helper()
+	return startHostsAs(t, agents, each, func(*agent.Config) {})
+}
+
+// startHostsAs is startHosts with agents' files changed.
+func startHostsAs(t testing.TB, agents, each int, change func(*agent.Config)) []*host {
 	t.Helper()
 	dir := folder(t)
 	var hosts []*host
@@ -68,6 +74,7 @@
 				Program: []string{"node"}, Control: "socket", Listen: "127.0.0.1:1",
 			})
 		}
+		change(&cfg)
 		a, err := agent.New(cfg, agent.Options{Runner: h.machine.Runner(), Version: "test", First: true})
 		if err != nil {
 			t.Fatal(err)
