--- a/internal/fleet/agent/council_test.go
+++ b/internal/fleet/agent/council_test.go
@@ -228,3 +228,21 @@
 		}
 	}
 }
+
+// So with [fleet], which takes a council.
+func TestFleetsTableIsChecked(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "agent.toml")
+	text := "name = \"m0\"\nstate = \"s\"\nsocket = \"s.sock\"\n[fleet]\n[[fleet.program]]\nname = \"v 2\"\n[[fleet.program]]\nname = \"v1\"\ncommand = [\"x\"]\n[[fleet.program]]\nname = \"v1\"\ncomand = [\"x\"]\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := LoadConfig(path)
+	for _, want := range []string{
+		":4: fleet: there is no [council]", `:6: fleet.program[1].name: "v 2" is no name`, "fleet.program[1].command: none given",
+		`:11: fleet.program[3].name: "v1" is given twice`, "did you mean fleet.program.command?",
+	} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("lacks %q in\n%v", want, err)
+		}
+	}
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -56,7 +56,9 @@
 func TestWrongKept(t *testing.T) {
 	for text, want := range map[string]string{
 		"[kept]\nfile = \"here\"\n": ":2: kept.file: \"here\" is no absolute path", "[kept]\nevery = \"2s\"\n": ":2: kept.every: nothing is kept",
-		"[kept]\nfile = \"/x\"\nevery = \"1ms\"\n": ":3: kept.every: 1ms",
+		"[kept]\nfile = \"/x\"\nevery = \"1ms\"\n":             ":3: kept.every: 1ms",
+		"[fleet]\nwait = \"2s\"\n":                             ":2: fleet.wait: the fleet's word comes over control.socket",
+		"[control]\nsocket = \"/x\"\n[fleet]\nwait = \"1m\"\n": ":4: fleet.wait: 1m0s, up to 30s can be",
 	} {
 		path := filepath.Join(t.TempDir(), "operator.toml")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
