--- a/internal/standin/lab/return_test.go
+++ b/internal/standin/lab/return_test.go
@@ -230,16 +230,21 @@
 			o.Shape = func(_ int, b *standin.BoxOptions) { b.Cores, b.Speed, b.Queue = 1, 1, 1 }
 		},
 	},
+	// A second mass kill at each second of the first ten.
 	"killed again and again": {
 		least: 15,
 		behind: func(w *owned) {
-			for _, after := range []time.Duration{time.Second, 3 * time.Second, 2 * time.Second} {
-				time.Sleep(after)
+			for after := range 10 {
+				time.Sleep(time.Duration(after+1) * time.Second)
 				w.down()
 				w.up()
 			}
 		},
 	},
+	"two minutes without discovery": {
+		least:  60 * 60, // half of what is asked for
+		behind: func(*owned) { time.Sleep(2 * time.Minute) },
+	},
 }
 
 // play has all come back together while discovery is away, then overbooked, and judges.
