--- a/internal/fleet/owner/keeper.go
+++ b/internal/fleet/owner/keeper.go
@@ -81,17 +81,26 @@
 func (s *stewardship) loop(ctx context.Context) {
 	every := time.NewTicker(decideEach)
 	defer every.Stop()
+	var v duty.View // copying it costs as much as there are jobs: this duty is held also while nothing happens
+	var known time.Time
+	mine := false
 	for {
 		changed := s.opt.Council.Changed()
+		news := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-every.C:
 		case <-s.answered:
 		case <-changed:
+			news = true
 		}
-		v, ok := s.opt.Council.Known()
-		if !s.sees(v, ok) {
+		if !mine || news || time.Since(known) >= countEvery/2 {
+			var ok bool
+			v, ok = s.opt.Council.Known()
+			mine, known = s.sees(v, ok), time.Now()
+		}
+		if !mine {
 			continue
 		}
 		but := ^desired.Version(0)
