A server's reset is no end of an answer without a length

Cause: keepAnswer looked for a pause with Peek and took any error but a time-out for one that the next read would give again. bufio gives an error once, and so does the system: after ECONNRESET the next read gives an end, which an answer without a length takes for its own. Ruled out by the test: lengths and chunks (their ends are counted), and an end of the connection. TestBrokenOffAnswerIsNeverWhole breaks off at every byte, by end and by reset, in four forms; it fails without the mend at the first byte behind the head of an answer without a length.

--- a/internal/node/spoilt_test.go
+++ b/internal/node/spoilt_test.go
@@ -5,10 +5,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"otterstep/internal/core"
+	"otterstep/internal/passing"
 	"otterstep/policy"
 )
 
@@ -180,3 +182,38 @@
 		t.Errorf("%d servers held, want 1", v.Members)
 	}
 }
+
+// Answers that break off at each of their bytes, by an end of the connection or by a reset, in
+// all the forms that servers give them: none is taken for whole, nor handed to a client as such.
+// The one that has no length ends with its connection, so that there a reset alone tells.
+func TestBrokenOffAnswerIsNeverWhole(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]string{
+		"length":         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nmade here",
+		"chunked":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n4\r\nmade\r\n5;a=b\r\n here\r\n0\r\nA: b\r\n\r\n",
+		"ended by close": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nmade here",
+		"HTTP/1.0":       "HTTP/1.0 200 OK\r\n\r\nmade here",
+	} {
+		toClose := !strings.Contains(text, "Content-Length") && !strings.Contains(text, "chunked")
+		for cut := range len(text) + 1 {
+			for _, reset := range []bool{false, true} {
+				if cut == len(text) && !(reset && toClose) || !reset && toClose && cut >= strings.Index(text, "\r\n\r\n")+4 {
+					continue // it is whole, or looks it
+				}
+				s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+					io.WriteString(c, text[:cut])
+					if reset {
+						c.(*net.TCPConn).SetLinger(0)
+					}
+					return false
+				})
+				m := get()
+				m.passed = passing.New()
+				p := testUpstream(t, 1).roundTrip(t.Context(), at(s.addr), m, patience, yes)
+				if p.status != policy.Reset || p.body != nil {
+					t.Fatalf("%s, cut at byte %d, reset %v: status %d with %q", name, cut, reset, p.status, p.body)
+				}
+			}
+		}
+	}
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -289,9 +289,12 @@
 	for {
 		if large && c.In.Buffered() == 0 {
 			limit(ctx, c, time.Now().Add(pauseFor))
-			if _, err := c.In.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
+			switch _, err := c.In.Peek(1); {
+			case errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil:
 				return text, false, nil
-			} // any other error is the next read's too
+			case err != nil && !errors.Is(err, io.EOF): // a reset is told once: the next read would see an end
+				return nil, false, err
+			}
 		}
 		if len(text) == cap(text) {
 			text = slices.Grow(text, 1)
