A node's end is ahead of the kill, whatever its deadlines; nothing begins for who has left

Ruled out: a hang of Shutdown (it was never reached). Found beside it: Machine.EndIn set a time for requests still to come only, so that an open one with a longer deadline was cut off by the kill; and an attempt still connecting when its client left, or its request was answered, began all the same where the settings let no attempt be cancelled. The timetable of the end is a pure part of internal/life now.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -24,7 +24,15 @@
 // start runs a loop in a bubble until the test's end, with ready servers 1 to n.
 func start(t *testing.T, seed uint64, n int) (l *Loop, stop func()) {
 	t.Helper()
-	l, err := New(Options{Settings: settings(), Seed: seed, Clock: NewClock(), Watch: func() {}, Drop: func(Server) {}})
+	return startWith(t, seed, n, func(*policy.Settings) {})
+}
+
+// startWith is start with other settings.
+func startWith(t *testing.T, seed uint64, n int, change func(*policy.Settings)) (l *Loop, stop func()) {
+	t.Helper()
+	set := settings()
+	change(&set)
+	l, err := New(Options{Settings: set, Seed: seed, Clock: NewClock(), Watch: func() {}, Drop: func(Server) {}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -287,8 +287,18 @@
 	})
 }
 
-// EndIn tells that the pool ends after d: answers are due by then.
-func (m *Machine) EndIn(now, d time.Duration) { m.step(now, func() { m.endBy = m.now + d }) }
+// EndIn tells that the pool ends after d: answers are due by then, those to requests that are open too.
+func (m *Machine) EndIn(now, d time.Duration) {
+	m.step(now, func() {
+		m.endBy = m.now + d
+		for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+			if r := m.requests[id]; !r.answered && !r.coming && r.deadline > m.endBy { // Sent sets the time of one that is coming
+				m.balancer.Shorten(m.now, id, m.due(r, r.deadline))
+				m.watch(r)
+			}
+		}
+	})
+}
 
 // View is a pool's state for those who look on.
 type View struct {
@@ -365,21 +375,28 @@
 func (m *Machine) cordon(id policy.ServerID) {
 	m.balancer.Cordon(m.now, id)
 	for _, rid := range slices.Sorted(maps.Keys(m.requests)) {
-		for _, a := range m.requests[rid].attempts {
-			if a.server == id && !a.over && a.phase.CompareAndSwap(unsent, abandoned) {
-				m.queue = append(m.queue, func() {
-					if !a.over {
-						m.outcome(a, policy.Moot, m.now)
-					}
-				})
-			}
-		}
+		m.takeBack(m.requests[rid], func(a *Attempt) bool { return a.server == id })
 	}
 	if to, listed := m.servers[id]; listed {
 		m.act(Action{Act: Drop, Server: to})
 	}
 }
 
+// takeBack ends those of a request's attempts of which nothing was written yet: they never run.
+func (m *Machine) takeBack(r *Pending, which func(*Attempt) bool) {
+	for _, a := range r.attempts {
+		if which(a) && !a.over && a.phase.CompareAndSwap(unsent, abandoned) {
+			m.queue = append(m.queue, func() {
+				if !a.over {
+					m.outcome(a, policy.Moot, m.now)
+				}
+			})
+		}
+	}
+}
+
+func every(*Attempt) bool { return true }
+
 // submit takes a request in.
 func (m *Machine) submit(q Request) *Pending {
 	if !m.ids.add(m.now, q.Name) {
@@ -522,10 +539,13 @@
 	m.act(Action{Act: Respond, Pending: r, Answer: a})
 }
 
-// settle forgets a request that is answered and has nothing out.
+// settle forgets a request that is answered and has nothing out. Of what has not begun by then nothing
+// goes out, whether or not the settings let attempts be cancelled: a client that has left would be
+// served behind its back.
 func (m *Machine) settle(r *Pending) {
 	if r.answered {
 		r.message = nil // the heap may hold the request for a while
+		m.takeBack(r, every)
 		if r.out == 0 {
 			delete(m.requests, r.id)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,17 +29,7 @@
 	doorSockets  = door.Connections + 2
 	leastSockets = 64
 
-	// A node that was told to end is killed no sooner than drainGrace and the longest
-	// deadline later. Clients go on using what connections stay open, and on a tier of
-	// one can go nowhere else, so it serves until shortly before: answers are due
-	// drainSpare ahead of that, connections end from drainLeave ahead of it on, those
-	// behind an answer before those that must be closed while idle.
-	drainGrace  = 700 * time.Millisecond
-	drainAccept = 450 * time.Millisecond // clients connect for up to 0.4 s
-	drainSpare  = 100 * time.Millisecond
-	drainLeave  = 220 * time.Millisecond
-	drainBehind = 100 * time.Millisecond
-	leaveFor    = 20 * time.Millisecond // for idle connections to end by themselves
+	leaveFor = 20 * time.Millisecond // for idle connections to end by themselves
 
 	headTimeout  = 2500 * time.Millisecond // a client may take 2 s over a head; bodies have a rate, see patient
 	writeTimeout = 60 * time.Second        // from the head on, with a slow body: over any deadline
@@ -230,6 +220,7 @@
 	case <-ctx.Done():
 	}
 
+	told := time.Now()
 	state.End()
 	log.Info("draining")
 	callsDone := make(chan struct{})
@@ -248,25 +239,24 @@
 	for _, class := range set.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	kill := time.Now().Add(longest + drainGrace)
-	l.EndIn(time.Until(kill) - drainSpare)
-	told := time.Now()
+	plan := life.Terminate(longest)
+	l.EndIn(plan.Answers - time.Since(told))
 	accepts := func() bool {
 		if heirs != nil {
 			return heirs.accepts(time.Since(told))
 		}
-		return time.Since(told) < drainAccept
+		return time.Since(told) < plan.Accept
 	}
-	for time.Until(kill) > drainLeave+drainBehind && (accepts() || !clients.empty()) {
+	for time.Since(told) < plan.Behind && (accepts() || !clients.empty()) {
 		time.Sleep(leaveFor)
 	}
 	f.draining.Store(true)
 	if !clients.empty() {
-		time.Sleep(drainBehind)
+		time.Sleep(plan.Idle - plan.Behind)
 	}
 	clients.leave()
 	time.Sleep(leaveFor)
-	limit, cancel := context.WithDeadline(background, kill)
+	limit, cancel := context.WithDeadline(background, told.Add(plan.Kill))
 	defer cancel()
 	if err := server.Shutdown(limit); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("shut down: %w", err)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -561,7 +561,7 @@
 		stopped := make(chan error, 1)
 		go func() { stopped <- stop() }()
 		told := false
-		for until := time.Now().Add(drainAccept); time.Now().Before(until) && !told; {
+		for until := time.Now().Add(life.AcceptFor); time.Now().Before(until) && !told; {
 			resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(httptest.NewRequest(http.MethodGet, "http://"+addr+"/up", nil))
 			if err != nil {
 				t.Fatalf("tell %v: the node has ceased to accept: %v", tell, err)
--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -17,6 +17,7 @@
 	"otterstep/internal/cordon"
 	"otterstep/internal/fleet/record"
 	"otterstep/internal/handover"
+	"otterstep/internal/life"
 	"otterstep/internal/unixsock"
 )
 
@@ -344,7 +345,7 @@
 	s.mu.Lock()
 	gives := s.role == handover.Giving
 	s.mu.Unlock()
-	if ending < drainAccept && !gives {
+	if ending < life.AcceptFor && !gives {
 		return true
 	}
 	s.ending.Store(true)
--- a/policy/state.go
+++ b/policy/state.go
@@ -641,6 +641,14 @@
 	r.useful = min(r.end, now+r.class.Aim+time.Duration(r.class.AimStretch*float64(r.Hint)))
 }
 
+// Shorten is told that a request has to be answered sooner than was said: within left from now on.
+func (b *Balancer) Shorten(now time.Duration, id RequestID, left time.Duration) {
+	if r := b.requests[id]; r != nil {
+		r.end = min(r.end, now+left)
+		r.useful = min(r.useful, r.end)
+	}
+}
+
 // Last tells that no further attempt of a request can be made, as its body has gone by.
 func (b *Balancer) Last(id RequestID) {
 	if r := b.requests[id]; r != nil {
