A client's leaving is noticed behind whatever it has sent, and the time told counts the connect

With bytes of another request behind an open one it saw no close, and the request was sent on for a client that was gone. Asked discovery stays. - a client of HTTP/1.0 could not tell an answer without a length that breaks off from a whole one: it gets such answers whole or not at all. - http.Server's Shutdown closed connections on which part of a request had been read: a node that ends waits for these until answers are due (drain.go).

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -54,7 +54,31 @@
 	place   *list.Element
 	since   time.Time // when it went there
 	leaving bool      // evicted, unless data comes first
+	active  bool      // a request is open
+	begun   bool      // bytes of a request's head have come, and not all of it
 	framing framing   // the reader's
+
+	ahead *aheadConn         // Conn, where it is known who is to be told of the client's leaving:
+	left  context.CancelFunc // ends the context of the connection's requests
+}
+
+type clientKey struct{}
+
+// withClient is http.Server's ConnContext.
+func withClient(ctx context.Context, conn net.Conn) context.Context {
+	c := conn.(*client)
+	ctx, left := context.WithCancel(context.WithValue(ctx, clientKey{}, c))
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	c.ahead = &aheadConn{Conn: c.Conn}
+	c.Conn, c.left = c.ahead, left
+	return ctx
+}
+
+// clientOf gives the client's connection that a request came on; nil if it is not known.
+func clientOf(ctx context.Context) *client {
+	c, _ := ctx.Value(clientKey{}).(*client)
+	return c
 }
 
 func newClients(descriptors int) *clients {
@@ -117,9 +141,19 @@
 		c.stay()
 		c.framing.see(b[:n])
 	}
+	if n == 1 && len(b) == 1 && c.open() { // net/http looks for the client's leaving no further than this
+		c.ahead.watch(c.left)
+	}
 	return n, err
 }
 
+// open tells that a request is open, and that its context can be ended.
+func (c *client) open() bool {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	return c.active && c.left != nil
+}
+
 // SetReadDeadline is net/http's; it does not undo an eviction.
 func (c *client) SetReadDeadline(at time.Time) error {
 	c.group.mu.Lock()
@@ -144,6 +178,7 @@
 	if c.in == &c.group.idle {
 		c.move(nil)
 	}
+	c.begun = !c.active
 	c.remain()
 }
 
@@ -162,6 +197,7 @@
 	defer g.mu.Unlock()
 	c := conn.(*client)
 	c.move(nil)
+	c.active, c.begun = s == http.StateActive, false
 	switch s {
 	case http.StateNew:
 		g.conns[c] = struct{}{}
@@ -178,6 +214,9 @@
 			c.leaving = false
 			g.leaving--
 		}
+		if c.left != nil {
+			c.left()
+		}
 	}
 	g.evict()
 }
@@ -235,14 +274,17 @@
 	c.Conn.SetReadDeadline(longAgo)
 }
 
-// leave evicts all that have no request open; a request that has come by then is
+// leave evicts all that have no request open nor begun; a request that has come by then is
 // answered. http.Server's Shutdown would cut it off.
 func (g *clients) leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, l := range []*list.List{&g.silent, &g.idle} {
-		for l.Len() > 0 {
-			l.Front().Value.(*client).evict()
+		for e := l.Front(); e != nil; {
+			c := e.Value.(*client)
+			if e = e.Next(); !c.begun {
+				c.evict()
+			}
 		}
 	}
 }
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -19,16 +19,37 @@
 )
 
 const (
-	watchWait    = 10 * time.Second // a watch answers after this at the latest
-	watchGrace   = 1500 * time.Millisecond
-	listWait     = time.Second     // the agent on this machine answers at once
-	listWaitAsk  = 5 * time.Second // one service for all works through calls in turn, and says itself if that takes too long
 	backoffFirst = 50 * time.Millisecond
 	backoffMost  = 400 * time.Millisecond
 	maxList      = 4 << 20
 	olderMost    = 3 // answers of an older version, then the whole list is asked for
 )
 
+// listTimes are how long a node waits for discovery. Whatever becomes of a call, a change counts as told
+// toldAfter from when discovery had it and could be reached; a watch that has fallen silent counts as told
+// toldBehind its own wait, if that is later.
+type listTimes struct {
+	wait  time.Duration // a watch answers after this at the latest, be there changes or not
+	watch time.Duration // a watch is taken for silent, and opened anew
+	whole time.Duration // a call that need not wait is taken for silent
+}
+
+const (
+	toldAfter  = 6 * time.Second
+	toldBehind = 2 * time.Second
+)
+
+// timesFor gives the times. An agent on the node's own machine answers at once and at no cost, so that watches of
+// it are short enough for a silent one to be found out within toldAfter. Where one service is asked by all, each
+// call costs it as much as many lines, and it works through calls in turn: watches are as long as it can bear,
+// which toldBehind allows for, and what it has not got to is not taken for silence.
+func timesFor(asked bool) listTimes {
+	if asked {
+		return listTimes{wait: 10 * time.Second, watch: 11500 * time.Millisecond, whole: 5 * time.Second}
+	}
+	return listTimes{wait: 4 * time.Second, watch: 4500 * time.Millisecond, whole: time.Second}
+}
+
 // discovery follows the list of servers: once as a whole, then by a watch that
 // is re-armed at once, so that no change falls between two calls.
 type discovery struct {
@@ -52,6 +73,9 @@
 	// failed and the known list has to do.
 	first func()
 
+	// limit ends a call that takes too long; it is context.WithTimeout but in tests.
+	limit func(context.Context, time.Duration) (context.Context, context.CancelFunc)
+
 	client  http.Client
 	wanted  chan struct{} // the module wants a watch
 	moves   chan string   // new addresses of discovery
@@ -67,6 +91,7 @@
 	return &discovery{
 		addr: addr, asked: site.Settings.ListAsked, zones: site.Zones, kinds: site.Kinds, clock: c, log: log,
 		wanted: make(chan struct{}, 1), moves: make(chan string),
+		limit:  context.WithTimeout,
 		client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 }
@@ -170,16 +195,14 @@
 // call makes one call, of the whole list at first and then of what is newer.
 func (d *discovery) call(ctx context.Context) error {
 	address := url.URL{Scheme: "http", Host: d.addr, Path: "/discovery/hosts"}
-	wait := listWait
-	if d.asked {
-		wait = listWaitAsk
-	}
+	times := timesFor(d.asked)
+	wait := times.whole
 	if d.current {
-		wait = watchWait + watchGrace
+		wait = times.watch
 		address.RawQuery = "since=" + strconv.FormatInt(d.rev, 10) +
-			"&timeout_ms=" + strconv.FormatInt(watchWait.Milliseconds(), 10)
+			"&timeout_ms=" + strconv.FormatInt(times.wait.Milliseconds(), 10)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := d.limit(ctx, wait)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), nil)
 	if err != nil {
--- a/internal/node/framing.go
+++ b/internal/node/framing.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"context"
-	"net"
 	"strconv"
 	"sync/atomic"
 )
@@ -39,13 +37,6 @@
 // lineMost is what is kept of a line: enough for the names and values that matter.
 const lineMost = 256
 
-type framingKey struct{}
-
-// withFraming is http.Server's ConnContext.
-func withFraming(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, framingKey{}, &c.(*client).framing)
-}
-
 // see takes in what came.
 func (f *framing) see(b []byte) {
 	for len(b) > 0 && f.part != inDoubt {
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
@@ -50,6 +51,16 @@
 	return f
 }
 
+// server makes the HTTP server of clients' connections.
+func (f *front) server(log *slog.Logger) *http.Server {
+	return &http.Server{
+		Handler: f, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		WriteTimeout: writeTimeout, // of a small answer; what passes has a limit for each part
+		ConnState:    f.clients.state, ConnContext: withClient,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+}
+
 // mostBody bounds a request's body. No more than the memory for bodies is kept of it.
 const mostBody = 64 << 20
 
@@ -194,7 +205,7 @@
 
 // parse looks at all but the body. What it can't make sense of is an error at once.
 func (f *front) parse(r *http.Request) (q core.Request, m *message, err error) {
-	if spoilt, _ := r.Context().Value(framingKey{}).(*framing); spoilt != nil && spoilt.doubtful.Load() {
+	if c := clientOf(r.Context()); c != nil && c.framing.doubtful.Load() {
 		// net/http has dropped a Content-Length beside a Transfer-Encoding by now. Two lengths
 		// may hide a second request in the first one's body, so none of these passes.
 		return q, nil, badRequest("Content-Length beside Transfer-Encoding, or a Transfer-Encoding in HTTP/1.0 (RFC 9112, section 6.1)")
@@ -259,7 +270,7 @@
 	m = &message{
 		left:   min(left, rules.Deadline),
 		method: r.Method, uri: r.RequestURI, host: r.Host,
-		header: make(http.Header, len(forwarded)), upstream: f.upstream,
+		header: make(http.Header, len(forwarded)), upstream: f.upstream, lengths: !r.ProtoAtLeast(1, 1),
 	}
 	for _, name := range forwarded {
 		if values := r.Header[name]; len(values) > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,11 +4,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -29,7 +27,7 @@
 	doorSockets  = door.Connections + 2
 	leastSockets = 64
 
-	leaveFor = 20 * time.Millisecond // for idle connections to end by themselves
+	writeSpare = 50 * time.Millisecond // for a request to be written, behind its connect
 
 	headTimeout  = 2500 * time.Millisecond // a client may take 2 s over a head; bodies have a rate, see patient
 	writeTimeout = 60 * time.Second        // from the head on, with a slow body: over any deadline
@@ -68,6 +66,12 @@
 	}
 }
 
+// repeatWindow is how long after an attempt a further one may be chosen, so that its last byte has gone out
+// while servers still drop repeats: its connection may take all of connect to come up.
+func repeatWindow(window, connect time.Duration) time.Duration {
+	return max(0, window-connect-writeSpare)
+}
+
 // memoryLimit is the collector's, in bytes.
 func memoryLimit(mb int) int64 { return int64(mb) << 20 * 3 / 4 }
 
@@ -89,6 +93,7 @@
 	set.Classes = slices.Clone(set.Classes)
 	for i := range set.Classes {
 		set.Classes[i].Parked = true // an answer that passes is no load once it has begun
+		set.Classes[i].Window = repeatWindow(set.Classes[i].Window, cfg.Site.ConnectTimeout)
 	}
 	carrying := cfg.Sockets - otherSockets
 	if cfg.Operator != "" {
@@ -206,12 +211,7 @@
 		}()
 		defer func() { stop(); <-controlled }()
 	}
-	server := http.Server{
-		Handler: f, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		WriteTimeout: writeTimeout, // of a small answer; what passes has a limit for each part
-		ConnState:    clients.state, ConnContext: withFraming,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-	}
+	server := f.server(log)
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(clients.listener(listener)) }()
 	select {
@@ -247,21 +247,9 @@
 		}
 		return time.Since(told) < plan.Accept
 	}
-	for time.Since(told) < plan.Behind && (accepts() || !clients.empty()) {
-		time.Sleep(leaveFor)
-	}
-	f.draining.Store(true)
-	if !clients.empty() {
-		time.Sleep(plan.Idle - plan.Behind)
-	}
-	clients.leave()
-	time.Sleep(leaveFor)
-	limit, cancel := context.WithDeadline(background, told.Add(plan.Kill))
-	defer cancel()
-	if err := server.Shutdown(limit); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("shut down: %w", err)
+	if err := drain(background, told, plan, accepts, f, clients, server); err != nil {
+		return err
 	}
-	server.Close()
 	if comes != nil {
 		comes.end(background)
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -50,6 +50,7 @@
 	body     *body         // nil for none
 	left     time.Duration // that its client waits, from its last byte on
 	passed   *passing.Hand // where an answer goes that is too large to be kept; nil: nowhere
+	lengths  bool          // its client knows no chunks: it could not tell a cut answer without a length from a whole one
 	upstream *upstream
 }
 
@@ -166,6 +167,7 @@
 	if m.coming() && m.body.taken.Load() {
 		return reply{status: policy.Moot, spent: true}
 	}
+	began := time.Now()
 	c, err := u.pool.Get(ctx, to)
 	switch {
 	case errors.Is(err, conns.ErrNone):
@@ -186,7 +188,7 @@
 		u.pool.Put(c, release())
 		return reply{status: policy.Moot, spent: coming}
 	}
-	err = m.write(ctx, c, wait)
+	err = m.write(ctx, c, max(0, wait-time.Since(began))) // connecting has taken its part
 	if coming {
 		m.body.reads.Done()
 	}
@@ -226,7 +228,7 @@
 	if b.Reader != http.NoBody { // else the length is that of a GET's
 		b.Reader = &timed{ctx: ctx, c: c, from: b.Reader, each: stallFor}
 		whole := false
-		if text, whole, err = keepAnswer(ctx, c, b, served && m.passed != nil); err != nil {
+		if text, whole, err = keepAnswer(ctx, c, b, served && m.passed != nil && (b.Length >= 0 || !m.lengths)); err != nil {
 			return broken, false
 		}
 		if !whole {
