A silent watch is opened anew at once, and failed calls are repeated before a change counts

All watches had fallen silent in the first second; a watch of 10 s was given up after 11.5 s, and the module then spread the next call as if discovery had failed. A silent watch of asked discovery is given up after 11 s now and opened anew at once: that can't come thicker than its time-out. Further, by reading: behind some failures the next call came up to MustAsk/4 + 0.5 s and MustAsk later, over the 6 s that count whatever became of a call; delay and spread end within 4 s now.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -45,7 +45,7 @@
 // which toldBehind allows for, and what it has not got to is not taken for silence.
 func timesFor(asked bool) listTimes {
 	if asked {
-		return listTimes{wait: 10 * time.Second, watch: 11500 * time.Millisecond, whole: 5 * time.Second}
+		return listTimes{wait: 10 * time.Second, watch: 11 * time.Second, whole: 5 * time.Second}
 	}
 	return listTimes{wait: 4 * time.Second, watch: 4500 * time.Millisecond, whole: time.Second}
 }
@@ -160,6 +160,9 @@
 			down = true
 			d.log.Warn("discovery is down, keeping the list", "rev", d.rev, "err", err)
 		}
+		if errors.Is(err, errSilent) { // it is opened anew at once: calls can't come thicker than their time-out
+			continue
+		}
 		if d.asked { // its calls cost all nodes: the module spreads them
 			for len(d.wanted) > 0 {
 				<-d.wanted
@@ -210,7 +213,7 @@
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return fmt.Errorf("list: %w", err)
+		return d.failed(ctx, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -221,7 +224,7 @@
 	}
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
 	if err != nil {
-		return fmt.Errorf("list: %w", err)
+		return d.failed(ctx, err)
 	}
 	list, err := parseList(text)
 	switch {
@@ -250,6 +253,17 @@
 	return nil
 }
 
+// errSilent is wrapped where a watch has said nothing for longer than it may wait.
+var errSilent = errors.New("the watch has fallen silent")
+
+// failed words what became of a call that gave no answer.
+func (d *discovery) failed(ctx context.Context, err error) error {
+	if d.current && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return fmt.Errorf("list: %w: %w", errSilent, err)
+	}
+	return fmt.Errorf("list: %w", err)
+}
+
 // recall takes the list that this node kept. Whether discovery has begun anew since is not known, so that
 // nothing but the whole list confirms it.
 func (d *discovery) recall(targets []target) {
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"otterstep/internal/core"
 	"otterstep/policy"
@@ -45,10 +46,17 @@
 }
 
 func follow(t *testing.T, addr, mode string, known hostList) *follower {
+	t.Helper()
+	return followBy(t, addr, mode, known, context.WithTimeout)
+}
+
+// followBy is follow with limits on calls by another clock.
+func followBy(t *testing.T, addr, mode string, known hostList, limit func(context.Context, time.Duration) (context.Context, context.CancelFunc)) *follower {
 	t.Helper()
 	site := siteOf(t, strings.Replace(settings, "{", fmt.Sprintf(`{"RegistryMode": %q,`, mode), 1))
 	f := &follower{ready: make(chan struct{}), lists: make(chan string, 16)}
 	f.discovery = newDiscovery(addr, site, core.NewClock(), slog.New(slog.NewTextHandler(&f.log, nil)))
+	f.limit = limit
 	f.first = func() { close(f.ready) }
 	f.members = func(kind policy.ListKind, entries []policy.Entry, _ []string) {
 		f.lists <- fmt.Sprintf("%d:%d", kind, len(entries))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -57,6 +57,7 @@
 	sweepEvery     = 10 * time.Millisecond
 	watchAgain     = 500 * time.Millisecond
 	watchApart     = 100 * time.Millisecond // between two nodes' calls
+	watchMost      = 4 * time.Second        // a change counts as told after 6 s, whatever became of a call
 	attemptsMost   = 16                     // whatever the settings allow
 )
 
@@ -69,8 +70,9 @@
 // the start, and again after each failure, with growing delays.
 func (b *Balancer) Members(now time.Duration, kind ListKind, entries []Entry) {
 	if kind == ListFailed {
-		b.host.SetTimer(now+b.jitter(b.watchDelay)+b.turn(b.watchSpread), tokenWatch)
-		b.watchDelay = min(2*b.watchDelay, b.set.Rules.MustAsk/4+watchAgain)
+		delay := b.jitter(b.watchDelay)
+		b.host.SetTimer(now+delay+b.turn(min(b.watchSpread, watchMost-delay)), tokenWatch)
+		b.watchDelay = min(2*b.watchDelay, b.set.Rules.MustAsk/4+watchAgain, watchMost/3)
 		b.watchSpread = min(2*b.watchSpread, b.set.Rules.MustAsk)
 		return
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -398,6 +398,25 @@
 	}
 }
 
+// Guards rule 3 where calls for the list fail, be they refused, given up or broken off: a change counts as told 6 s
+// after discovery had it, so that the next call comes within 4 s however many have failed and however many nodes ask.
+func TestFailedCallsAreRepeatedInTime(t *testing.T) {
+	for _, nodes := range []int{1, 30, 300} {
+		for _, ask := range []time.Duration{4600 * ms, 13 * time.Second} {
+			set := testSettings()
+			set.ListAsked, set.Nodes, set.Rules.MustAsk = true, nodes, ask
+			r := newRig(t, set, 3)
+			for n := range 20 {
+				before := r.h.watches
+				r.list(ListFailed)
+				if r.pass(4 * time.Second); r.h.watches == before {
+					t.Errorf("%d nodes, to ask within %v: no call for 4 s after failure %d", nodes, ask, n+1)
+				}
+			}
+		}
+	}
+}
+
 // Guards against pushing a cold server over, by a burst right after its start
 // and while most of the fleet restarts.
 func TestColdBudget(t *testing.T) {
