--- a/internal/sim/results.go
+++ b/internal/sim/results.go
@@ -19,6 +19,7 @@
 	Broken   map[ledger.Breach]int    `json:"broken"`    // how often
 	First    string                   `json:"first"`     // breach
 	Work     map[string]time.Duration `json:"work"`      // done by each server
+	ColdOver float64                  `json:"cold_over"` // requests of mean work to one cold server beyond what the rules allow and chance explains; 0: none
 	Pushed   map[string]float64       `json:"pushed"`    // most work sent to each while cold, as a part of what pushes it over
 	Digest   string                   `json:"digest"`    // of all ends in their order
 	Events   int                      `json:"events"`    // of the simulation
--- a/internal/sim/server.go
+++ b/internal/sim/server.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -45,8 +46,12 @@
 	overSince time.Duration
 	// pushedMost is the most that came while it was cold, as a part of what pushes it over.
 	pushedMost float64
-	work       time.Duration // done so far, for the report
-	ran        int64
+	// coldCame are the requests of mean work that came within the rules' window while it was cold;
+	// coldOver is the most that they were over what chance explains: see over.
+	coldCame []arrival
+	coldOver float64
+	work     time.Duration // done so far, for the report
+	ran      int64
 }
 
 // job is a request at a server. One of done and broken is called, once, unless the
@@ -148,9 +153,10 @@
 	now := s.engine.Now()
 	share := s.share()
 	if share >= 1 {
-		s.overSince = 0
+		s.overSince, s.coldCame = 0, nil
 		return
 	}
+	s.over(s.opt.Service[j.class].Mean.Seconds(), s.meanWork(), share)
 	span := s.opt.Rules.FallFor.Seconds()
 	if gone := (now - s.pushedAt).Seconds(); gone > 0 {
 		s.pushed *= max(0, 1-gone/span)
@@ -170,6 +176,38 @@
 	}
 }
 
+// arrival is a request's, with its work as a multiple of the mean.
+type arrival struct {
+	at   time.Duration
+	work float64
+}
+
+// over notes a request that comes while the server is cold, and by how much those of the rules' window are over
+// N + 2 x root of N + 2, N being the requests of mean work that the settings allow it in that time as it is now.
+// Beyond that it is no chance.
+func (s *Server) over(work, mean, share float64) {
+	now, span := s.engine.Now(), s.opt.Rules.FallFor
+	s.coldCame = append(s.coldCame, arrival{now, work / mean})
+	for now-s.coldCame[0].at >= span {
+		s.coldCame = s.coldCame[1:]
+	}
+	came := 0.0
+	for _, a := range s.coldCame {
+		came += a.work
+	}
+	allowed := s.opt.Rules.FallMultiple * float64(s.opt.Parallel) * share * span.Seconds() / mean
+	s.coldOver = max(s.coldOver, came-allowed-2*math.Sqrt(allowed)-2)
+}
+
+// meanWork is the mean of its classes' work in seconds.
+func (s *Server) meanWork() float64 {
+	sum := 0.0
+	for _, t := range s.opt.Service {
+		sum += t.Mean.Seconds()
+	}
+	return sum / float64(len(s.opt.Service))
+}
+
 // Crash ends the process: what it held is gone, connections to it are refused.
 func (s *Server) Crash() {
 	s.life++
@@ -182,5 +220,5 @@
 
 // Return starts it again, cold.
 func (s *Server) Return() {
-	s.down, s.started, s.pushed, s.overSince = false, s.engine.Now(), 0, 0
+	s.down, s.started, s.pushed, s.overSince, s.coldCame = false, s.engine.Now(), 0, 0, nil
 }
