--- /dev/null
+++ b/internal/ledger/cold.go
@@ -0,0 +1,40 @@
+package ledger
+
+import (
+	"math"
+	"time"
+)
+
+// Cold counts what comes to one cold server from all nodes together, and by how much that is over what chance
+// explains. Its zero value is ready for a server that has just started.
+type Cold struct {
+	came []arrival // within the rule's window
+	over float64
+}
+
+// arrival is a request's, with its work as a multiple of the mean.
+type arrival struct {
+	at   time.Duration
+	work float64
+}
+
+// Add notes a request that comes now, no earlier than the one before it, with its work as a multiple of the mean.
+// Within the window the server may get allowed requests of mean work, as it is now; it falls to N + 2 x root of
+// N + 2 of them, N being that, as more is no chance.
+func (c *Cold) Add(now, window time.Duration, work, allowed float64) {
+	c.came = append(c.came, arrival{now, work})
+	for now-c.came[0].at >= window {
+		c.came = c.came[1:]
+	}
+	sum := 0.0
+	for _, a := range c.came {
+		sum += a.work
+	}
+	c.over = max(c.over, sum-allowed-2*math.Sqrt(allowed)-2)
+}
+
+// Restart begins anew with a server that has started again; Over goes on.
+func (c *Cold) Restart() { c.came = nil }
+
+// Over gives the most by which a window was over that so far, in requests of mean work; 0: none was.
+func (c *Cold) Over() float64 { return c.over }
--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -174,6 +174,11 @@
 	fresh.send(t, read(""))
 	torn.send(t, push[half:])
 	bodiless.send(t, late[body:])
+	spoilt := connect(t, addr)
+	spoilt.send(t, "GET /nope/1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	if code, text, closes := spoilt.answer(t); code != http.StatusBadRequest || !closes {
+		t.Errorf("a bad request in the end: answered %d %s, closes %v", code, text, closes)
+	}
 	close(hold)
 	for name, c := range map[string]*clientConn{
 		"connected behind the signal": fresh, "in two parts": torn, "its body behind the signal": bodiless,
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -138,7 +138,16 @@
 				}
 				h.next(t).say(strings.Replace(answer(2, false), "in_service", "terminating", 1))
 				f.want(t, policy.ListDelta, 1)
-				h.next(t)
+				io.WriteString(h.next(t), part)
+				moved := newHushed(t) // a reload goes ahead of any silence
+				f.move(t.Context(), moved.Addr().String())
+				c := moved.next(t)
+				if c.query != "" {
+					t.Errorf("call %q of another discovery, want the whole list", c.query)
+				}
+				c.say(answer(1, true))
+				f.want(t, policy.ListFull, 1)
+				moved.next(t)
 				f.stop()
 				if n := strings.Count(f.log.String(), "discovery is down"); n != 1 {
 					t.Errorf("%d lines on one silence:\n%s", n, f.log.String())
--- a/internal/sim/server.go
+++ b/internal/sim/server.go
@@ -1,10 +1,10 @@
 package sim
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
+	"otterstep/internal/ledger"
 	"otterstep/policy"
 )
 
@@ -46,12 +46,9 @@
 	overSince time.Duration
 	// pushedMost is the most that came while it was cold, as a part of what pushes it over.
 	pushedMost float64
-	// coldCame are the requests of mean work that came within the rules' window while it was cold;
-	// coldOver is the most that they were over what chance explains: see over.
-	coldCame []arrival
-	coldOver float64
-	work     time.Duration // done so far, for the report
-	ran      int64
+	cold       ledger.Cold   // what came while it was cold
+	work       time.Duration // done so far, for the report
+	ran        int64
 }
 
 // job is a request at a server. One of done and broken is called, once, unless the
@@ -153,10 +150,13 @@
 	now := s.engine.Now()
 	share := s.share()
 	if share >= 1 {
-		s.overSince, s.coldCame = 0, nil
+		s.overSince = 0
+		s.cold.Restart()
 		return
 	}
-	s.over(s.opt.Service[j.class].Mean.Seconds(), s.meanWork(), share)
+	mean := s.meanWork()
+	s.cold.Add(now, s.opt.Rules.FallFor, s.opt.Service[j.class].Mean.Seconds()/mean,
+		s.opt.Rules.FallMultiple*float64(s.opt.Parallel)*share*s.opt.Rules.FallFor.Seconds()/mean)
 	span := s.opt.Rules.FallFor.Seconds()
 	if gone := (now - s.pushedAt).Seconds(); gone > 0 {
 		s.pushed *= max(0, 1-gone/span)
@@ -176,29 +176,6 @@
 	}
 }
 
-// arrival is a request's, with its work as a multiple of the mean.
-type arrival struct {
-	at   time.Duration
-	work float64
-}
-
-// over notes a request that comes while the server is cold, and by how much those of the rules' window are over
-// N + 2 x root of N + 2, N being the requests of mean work that the settings allow it in that time as it is now.
-// Beyond that it is no chance.
-func (s *Server) over(work, mean, share float64) {
-	now, span := s.engine.Now(), s.opt.Rules.FallFor
-	s.coldCame = append(s.coldCame, arrival{now, work / mean})
-	for now-s.coldCame[0].at >= span {
-		s.coldCame = s.coldCame[1:]
-	}
-	came := 0.0
-	for _, a := range s.coldCame {
-		came += a.work
-	}
-	allowed := s.opt.Rules.FallMultiple * float64(s.opt.Parallel) * share * span.Seconds() / mean
-	s.coldOver = max(s.coldOver, came-allowed-2*math.Sqrt(allowed)-2)
-}
-
 // meanWork is the mean of its classes' work in seconds.
 func (s *Server) meanWork() float64 {
 	sum := 0.0
@@ -220,5 +197,6 @@
 
 // Return starts it again, cold.
 func (s *Server) Return() {
-	s.down, s.started, s.pushed, s.overSince, s.coldCame = false, s.engine.Now(), 0, 0, nil
+	s.down, s.started, s.pushed, s.overSince = false, s.engine.Now(), 0, 0
+	s.cold.Restart()
 }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -165,7 +165,7 @@
 	r.Work, r.Pushed = map[string]time.Duration{}, map[string]float64{}
 	for _, s := range w.servers {
 		r.Work[s.opt.Addr], r.Pushed[s.opt.Addr] = s.work, s.pushedMost
-		r.ColdOver = max(r.ColdOver, s.coldOver)
+		r.ColdOver = max(r.ColdOver, s.cold.Over())
 	}
 	return r
 }
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"otterstep/internal/ledger"
 )
 
 // Class is a class of requests as boxes and clients see it.
@@ -76,6 +78,7 @@
 	draining bool
 	fell     bool
 	waiting  int
+	cold     ledger.Cold
 	load     float64 // seconds of work beyond what a cold box can take, see push
 	loadAt   time.Time
 	rng      *rand.Rand
@@ -209,6 +212,7 @@
 	b.Crash()
 	b.set(func() {
 		b.booted, b.draining, b.fell, b.slow, b.errors, b.load = time.Now(), false, false, 1, 0, 0
+		b.cold.Restart()
 	})
 	if err := b.listen(b.addr); err != nil {
 		return err
@@ -264,6 +268,11 @@
 		return false
 	}
 	limit := b.opt.FallMultiple * share * float64(b.opt.Cores) * b.opt.Speed // core seconds a second
+	mean := 0.0
+	for _, c := range b.classes {
+		mean += c.Work.Seconds() / float64(len(b.classes))
+	}
+	b.cold.Add(now.Sub(b.booted), b.opt.FallFor, work.Seconds()/mean, limit*b.opt.FallFor.Seconds()/mean)
 	if !b.loadAt.IsZero() {
 		b.load = max(0, b.load-limit*now.Sub(b.loadAt).Seconds())
 	}
@@ -272,6 +281,14 @@
 	return b.load > limit*b.opt.FallFor.Seconds()
 }
 
+// ColdOver gives the requests of mean work that came while it was cold beyond what the rules allow and chance
+// explains; see ledger.Cold.
+func (b *Box) ColdOver() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cold.Over()
+}
+
 // ServeHTTP is a request that a node sent. Once it runs it goes on to its end,
 // whether or not anybody waits.
 func (b *Box) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -46,6 +46,38 @@
 	}
 }
 
+// Three hundred nodes whose calls for the list all fail call no more than 230 times in any second, 150 on average, once
+// they have failed thrice: one service that takes a call from each of them within 2 s could answer them.
+func TestCallsOfManyNodesAreBounded(t *testing.T) {
+	set := testSettings()
+	set.ListAsked = true
+	fleet := newFleet(t, set, 300, 3)
+	const seconds = 20
+	var calls [seconds]int
+	for _, r := range fleet {
+		for range seconds * 100 {
+			before := r.h.watches
+			r.pass(10 * ms)
+			if r.h.watches > before {
+				if at := int((r.now - time.Hour) / time.Second); at < seconds {
+					calls[at]++
+				}
+				r.list(ListFailed)
+			}
+		}
+	}
+	sum := 0
+	for at, n := range calls[4:] {
+		if sum += n; n > 230 {
+			t.Errorf("%d calls in second %d", n, at+4)
+		}
+	}
+	if mean := sum / (seconds - 4); mean > 150 {
+		t.Errorf("%d calls a second", mean)
+	}
+	t.Logf("calls by second: %v", calls)
+}
+
 // Guards against many nodes that each send a key elsewhere, so that no server keeps it warm, and against a
 // hot key that fills the one server it is at home with.
 func TestManyNodesAgreeOnTheServersOfAKey(t *testing.T) {
