An attempt that connects does not begin at a server that has begun to drain meanwhile

Found by reading: a connect may take up to the settings' bound, and the rule on drains counts an attempt's first byte. Machine.members takes back what has not begun at servers that drain, are gone, restarted or moved, as cordon did, and the module picks another one. TestNothingBeginsAtAServerThatHasLeft (five cases, the connect held by a gate) fails without the takeBackAll in members.

--- a/internal/core/ending_test.go
+++ b/internal/core/ending_test.go
@@ -96,3 +96,40 @@
 		}
 	}
 }
+
+// Guards rule 3 while an attempt connects: once its server is told to drain, is gone, has restarted or stands elsewhere,
+// the attempt never begins there, however late its connection comes up, and the request is served by another server.
+func TestNothingBeginsAtAServerThatHasLeft(t *testing.T) {
+	for name, change := range map[string]func(*policy.Entry, *string) policy.ListKind{
+		"drains":        func(e *policy.Entry, _ *string) policy.ListKind { e.State = policy.Draining; return policy.ListDelta },
+		"is gone":       func(e *policy.Entry, _ *string) policy.ListKind { e.State = policy.Gone; return policy.ListDelta },
+		"has restarted": func(e *policy.Entry, _ *string) policy.ListKind { e.Started = time.Second; return policy.ListDelta },
+		"has moved":     func(_ *policy.Entry, at *string) policy.ListKind { *at = "elsewhere"; return policy.ListDelta },
+		"is not named":  func(e *policy.Entry, _ *string) policy.ListKind { e.Server = 3; return policy.ListFull },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l, stop := startWith(t, 1, 1, func(*policy.Settings) {})
+				defer stop()
+				answers, m := make(chan Answer, 1), newGated()
+				l.Submit(Request{
+					Request: policy.Request{Class: 2}, Name: "a",
+					Deadline: l.Clock().Now() + 2*time.Second, Message: m, Answers: answers,
+				})
+				<-m.connecting
+				l.Members(policy.ListDelta, []policy.Entry{{Server: 2, State: policy.Ready, Weight: 1}}, []string{"server 2"})
+				e, at := policy.Entry{Server: 1, State: policy.Ready, Weight: 1}, "server 1"
+				kind := change(&e, &at)
+				l.Members(kind, []policy.Entry{e}, []string{at})
+				synctest.Wait()
+				close(m.gate)
+				if <-m.begun {
+					t.Error("the attempt began")
+				}
+				if !<-m.begun {
+					t.Error("no attempt elsewhere")
+				}
+			})
+		})
+	}
+}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -347,7 +347,9 @@
 
 // members takes a list of servers or changes to it. Connections to a server that
 // is gone, or that is no longer the process or at the address that it was, are
-// closed; a late word on an old server does not touch a new one at its address.
+// closed; a late word on an old server does not touch a new one at its address. An attempt
+// that was chosen before and has not begun does not begin at a server that drains, is gone or
+// is another one by now: its connect may take longer than the rule on drains allows.
 func (m *Machine) members(kind policy.ListKind, entries []policy.Entry, endpoints []string) {
 	old := m.servers
 	if kind == policy.ListFull || kind == policy.ListCached {
@@ -355,33 +357,47 @@
 	} else {
 		old = maps.Clone(old)
 	}
+	drains := map[policy.ServerID]bool{}
 	for i, e := range entries {
 		if e.State == policy.Gone {
 			delete(m.servers, e.Server)
 		} else {
 			m.servers[e.Server] = Server{e.Server, endpoints[i], e.Started}
 		}
+		if e.State == policy.Draining {
+			drains[e.Server] = true
+		}
 	}
+	changed := len(drains) > 0
 	for id, b := range old {
 		if m.servers[id] != b {
 			m.act(Action{Act: Drop, Server: b})
+			changed = true
 		}
 	}
 	m.balancer.Members(m.now, kind, entries)
+	if changed {
+		m.takeBackAll(func(a *Attempt) bool { return drains[a.server] || m.servers[a.server] != a.To })
+	}
 }
 
 // cordon has the module leave the server out first, so that what is taken back goes elsewhere.
 // The process is restarted meanwhile as a rule, so its idle connections are of no use.
 func (m *Machine) cordon(id policy.ServerID) {
 	m.balancer.Cordon(m.now, id)
-	for _, rid := range slices.Sorted(maps.Keys(m.requests)) {
-		m.takeBack(m.requests[rid], func(a *Attempt) bool { return a.server == id })
-	}
+	m.takeBackAll(func(a *Attempt) bool { return a.server == id })
 	if to, listed := m.servers[id]; listed {
 		m.act(Action{Act: Drop, Server: to})
 	}
 }
 
+// takeBackAll is takeBack for all requests, in their order.
+func (m *Machine) takeBackAll(which func(*Attempt) bool) {
+	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+		m.takeBack(m.requests[id], which)
+	}
+}
+
 // takeBack ends those of a request's attempts of which nothing was written yet: they never run.
 func (m *Machine) takeBack(r *Pending, which func(*Attempt) bool) {
 	for _, a := range r.attempts {
