--- /dev/null
+++ b/cmd/otterstep/signals_test.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// SIGHUP, SIGTERM and SIGTERM again, while a request is held by its server: the later signals change nothing, the
+// request is answered whole, and the process ends by itself with 0.
+func TestSecondSignalChangesNothing(t *testing.T) {
+	came, hold := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(came)
+		<-hold
+		io.WriteString(w, "made here")
+	}))
+	defer server.Close()
+	path := configFile(t, func(c map[string]any) {
+		c["known"] = map[string]any{"rev": 1, "all": true, "targets": []any{map[string]any{
+			"uid": "s1", "endpoint": server.Listener.Addr().String(), "az": "a", "state": "in_service",
+		}}}
+	})
+	cmd := program(path)
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	lines := bufio.NewScanner(log)
+	until := func(word string) (line string) {
+		t.Helper()
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), word) {
+				return lines.Text()
+			}
+		}
+		t.Fatalf("the log ends without %q", word)
+		return ""
+	}
+	_, rest, _ := strings.Cut(until("msg=ready"), "listen=")
+	c, err := net.Dial("tcp", strings.TrimSpace(rest))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "POST /book/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: a\r\nX-Service-Class: book\r\nX-Time-Left: 2\r\nContent-Length: 0\r\n\r\n")
+	<-came
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		if err := cmd.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until("msg=draining")
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	close(hold)
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusOK || string(body) != "made here" {
+		t.Errorf("answered %s %q, %v", resp.Status, body, err)
+	}
+	c.Close()
+	until("msg=stopped")
+	for lines.Scan() {
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
