Right before an attempt's first byte the node looks whether the client is still there

Found by reading, then proved: clients that had gone before they were accepted (a machine that was stopped, descriptors that were full) had an attempt begun for about one in five of them, 6 to 24 of 60, since net/http's look for the leaving and the attempt come due at once. client.gone looks at the socket without waiting, also behind bytes that stand ahead of the close, right before Begin. TestGoneBeforeTheyAreAccepted (six ways of leaving, nobody accepted before all have left) fails without the look. netutil.LimitListener goes: the count of connections bounds them already, and it hid the socket. TestThousandDepartures judged by when the server's goroutine ran, which a busy machine delays; it judges at the node's first byte now. TestOldClientGetsNoPartForAWhole waited in the case that needs none.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -8,9 +8,10 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
-	"golang.org/x/net/netutil"
+	"golang.org/x/sys/unix"
 
 	"otterstep/internal/life"
 )
@@ -58,8 +59,9 @@
 	begun   bool      // bytes of a request's head have come, and not all of it
 	framing framing   // the reader's
 
-	ahead *aheadConn         // Conn, where it is known who is to be told of the client's leaving:
-	left  context.CancelFunc // ends the context of the connection's requests
+	socket syscall.Conn       // nil where there is none to look at
+	ahead  *aheadConn         // Conn, where it is known who is to be told of the client's leaving:
+	left   context.CancelFunc // ends the context of the connection's requests
 }
 
 type clientKey struct{}
@@ -93,7 +95,7 @@
 }
 
 func (g *clients) listener(l net.Listener) net.Listener {
-	return clientListener{netutil.LimitListener(l, g.all), g}
+	return clientListener{l, g}
 }
 
 // setDescriptors changes how many descriptors there are for clients, to at most as many as
@@ -114,7 +116,7 @@
 }
 
 func (l clientListener) Accept() (net.Conn, error) {
-	for l.group.filled() { // the listener's own bound is as wide as it ever gets
+	for l.group.filled() { // net/http accepts by one goroutine, so that one at a time gets past here
 		time.Sleep(evictEvery)
 	}
 	conn, err := l.Listener.Accept()
@@ -122,6 +124,7 @@
 		return nil, err
 	}
 	c := &client{Conn: conn, group: l.group}
+	c.socket, _ = conn.(syscall.Conn)
 	c.framing.begin()
 	return c, nil
 }
@@ -147,6 +150,35 @@
 	return n, err
 }
 
+// gone looks without waiting whether the client has closed or reset its connection, be there bytes ahead of that or not.
+// net/http's own look may come to run behind an attempt's first byte: where a client had left before it was accepted,
+// both are due at once.
+func (c *client) gone() bool {
+	if c.socket == nil {
+		return false
+	}
+	raw, err := c.socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) { // Read would wait for net/http's look
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err != nil:
+			gone = !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		case n == 0:
+			gone = true
+		default: // the close may stand behind what is there
+			look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+			n, err := unix.Poll(look, 0)
+			gone = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		}
+	})
+	return gone || err != nil
+}
+
 // open tells that a request is open, and that its context can be ended.
 func (c *client) open() bool {
 	c.group.mu.Lock()
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -117,6 +117,9 @@
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
 
+	if c := clientOf(r.Context()); c != nil {
+		m.gone = c.gone
+	}
 	answers := make(chan core.Answer, 1)
 	m.passed = passing.New()
 	defer m.passed.Close()
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -29,6 +29,14 @@
 // startFront serves clients by way of so many servers, all at one address. Classes have a minute's time, so that
 // a further attempt comes seconds behind the one before it.
 func startFront(t *testing.T, up *upstream, servers int, at string) *bench {
+	t.Helper()
+	b, accept := startUnheard(t, up, servers, at)
+	accept()
+	return b
+}
+
+// startUnheard is startFront that accepts nobody before accept is called.
+func startUnheard(t *testing.T, up *upstream, servers int, at string) (b *bench, accept func()) {
 	t.Helper()
 	site := siteOf(t, strings.NewReplacer("3000", "60000", "2000", "60000").Replace(settings))
 	l, err := core.New(core.Options{Settings: site.Settings, Seed: 1, Clock: core.NewClock(), Watch: func() {}, Drop: up.pool.Drop})
@@ -46,9 +54,8 @@
 	g := newClients(512)
 	f := newFront(l, up, site, g, 1<<20, new(life.Life), false)
 	s := f.server(quiet())
-	go func() { _ = s.Serve(g.listener(listener)) }()
-	t.Cleanup(func() { s.Close() })
-	return &bench{listener.Addr().String(), l}
+	t.Cleanup(func() { s.Close(); listener.Close() })
+	return &bench{listener.Addr().String(), l}, func() { go func() { _ = s.Serve(g.listener(listener)) }() }
 }
 
 // open counts the requests that are owed an answer or have an attempt out.
@@ -188,7 +195,7 @@
 			})
 			t.Run("during a connect", func(t *testing.T) {
 				h := newHandshake(t)
-				up := &upstream{conns.New(conns.Options{IdleFor: time.Hour, Connect: patience, Most: 8, TLS: h.config})}
+				up := &upstream{pool: conns.New(conns.Options{IdleFor: time.Hour, Connect: patience, Most: 8, TLS: h.config})}
 				t.Cleanup(up.pool.Close)
 				b := startFront(t, up, 1, h.addr)
 				c := connect(t, b.addr)
@@ -206,6 +213,35 @@
 	}
 }
 
+// Clients that have gone by the time that the node accepts them, as behind a stop of the whole machine: nothing of
+// theirs begins at a server, whatever order its goroutines run in.
+func TestGoneBeforeTheyAreAccepted(t *testing.T) {
+	t.Parallel()
+	for way, leave := range departures {
+		t.Run(way, func(t *testing.T) {
+			t.Parallel()
+			s := newServer(t, says(ok("x"), true))
+			b, accept := startUnheard(t, testUpstream(t, 64), 8, s.addr)
+			for n := range 60 {
+				c := connect(t, b.addr)
+				c.send(t, requestText(t, b.addr, []string{"read", "push", "book"}[n%3], "59"))
+				leave(t, c)
+			}
+			accept()
+			waitFor(t, "answer to a client that stays", func() bool {
+				c := connect(t, b.addr)
+				c.send(t, requestText(t, b.addr, "read", "59"))
+				code, _, _ := c.answer(t)
+				return code == http.StatusOK
+			})
+			waitFor(t, "end of all requests", func() bool { return b.open(t) == 0 })
+			if n := s.requests.Load(); n != 1 {
+				t.Errorf("%d requests of 60 clients that had gone began", n-1)
+			}
+		})
+	}
+}
+
 // What a client sends behind an open request is answered in its turn; one that sends more than is kept gets its
 // first answer, and its connection ends.
 func TestPipelinedRequestsAreAnsweredInTurn(t *testing.T) {
@@ -259,12 +295,14 @@
 	t.Logf("seed %d", seed)
 	var closed sync.Map // id: time of the client's close
 	var late, attempts atomic.Int64
-	s := newServer(t, func(n int64, r *http.Request, c net.Conn) bool {
+	up := testUpstream(t, 64)
+	up.began = func(m *message) {
 		attempts.Add(1)
-		if at, gone := closed.Load(r.Header.Get("X-Correlation-Id")); gone && time.Since(at.(time.Time)) > 100*time.Millisecond {
+		if at, gone := closed.Load(m.header.Get("X-Correlation-Id")); gone && time.Since(at.(time.Time)) > 100*time.Millisecond {
 			late.Add(1)
-			t.Logf("%s began %v behind the close", r.Header.Get("X-Correlation-Id"), time.Since(at.(time.Time)))
 		}
+	}
+	s := newServer(t, func(n int64, r *http.Request, c net.Conn) bool {
 		switch {
 		case n%8 == 0:
 			io.WriteString(c, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n")
@@ -276,7 +314,7 @@
 		}
 		return true
 	})
-	b := startFront(t, testUpstream(t, 64), 8, s.addr)
+	b := startFront(t, up, 8, s.addr)
 	var clients sync.WaitGroup
 	work := make(chan uint64)
 	for range 40 {
@@ -294,8 +332,8 @@
 				}
 				c.SetReadDeadline(time.Now().Add(time.Duration(rng.IntN(30)) * time.Millisecond))
 				c.Read(make([]byte, 1)) // it leaves then, or behind its answer
-				closed.Store(r.Header.Get("X-Correlation-Id"), time.Now())
 				c.Close()
+				closed.Store(r.Header.Get("X-Correlation-Id"), time.Now())
 			}
 		})
 	}
--- a/internal/node/repeats_test.go
+++ b/internal/node/repeats_test.go
@@ -30,7 +30,7 @@
 func TestToldTimeIsWhatIsLeft(t *testing.T) {
 	t.Parallel()
 	h := newHandshake(t)
-	up := &upstream{conns.New(conns.Options{IdleFor: time.Hour, Connect: patience, Most: 1, TLS: h.config})}
+	up := &upstream{pool: conns.New(conns.Options{IdleFor: time.Hour, Connect: patience, Most: 1, TLS: h.config})}
 	t.Cleanup(up.pool.Close)
 	begins, wait := beginning{yes, make(chan time.Time, 1)}, 10*time.Second
 	began := time.Now()
@@ -84,8 +84,8 @@
 	for _, reset := range []bool{true, false} {
 		s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nmade ")
-			<-time.After(2 * pauseFor)
 			if reset {
+				<-time.After(2 * pauseFor) // a client that knows chunks would have the part by now
 				c.(*net.TCPConn).SetLinger(0)
 				return false
 			}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -52,6 +52,8 @@
 	passed   *passing.Hand // where an answer goes that is too large to be kept; nil: nowhere
 	lengths  bool          // its client knows no chunks: it could not tell a cut answer without a length from a whole one
 	upstream *upstream
+	// gone looks whether the client has left, right before an attempt's first byte; nil: nobody can tell.
+	gone func() bool
 }
 
 // turn is what an attempt needs of the core; core.Turn implements it.
@@ -153,11 +155,15 @@
 
 // upstream carries out attempts on pooled connections, one request each at a
 // time.
-type upstream struct{ pool *conns.Pool }
+type upstream struct {
+	pool *conns.Pool
+	// began is told of each attempt behind the last look and ahead of its first byte; nil but in tests.
+	began func(*message)
+}
 
 // newUpstream retires idle connections well before servers do (connIdle).
 func newUpstream(connIdle, connectTimeout time.Duration, most int) *upstream {
-	return &upstream{conns.New(conns.Options{IdleFor: connIdle * 3 / 4, Connect: connectTimeout, Settle: settleFor, Most: most})}
+	return &upstream{pool: conns.New(conns.Options{IdleFor: connIdle * 3 / 4, Connect: connectTimeout, Settle: settleFor, Most: most})}
 }
 
 // roundTrip makes one attempt. Begin is asked right before the first byte; if it
@@ -181,13 +187,16 @@
 		u.pool.Put(c, release())
 		return reply{status: policy.Moot, spent: true}
 	}
-	if !t.Begin() {
+	if m.gone != nil && m.gone() || !t.Begin() {
 		if coming {
 			m.body.reads.Done()
 		}
 		u.pool.Put(c, release())
 		return reply{status: policy.Moot, spent: coming}
 	}
+	if u.began != nil {
+		u.began(m)
+	}
 	err = m.write(ctx, c, max(0, wait-time.Since(began))) // connecting has taken its part
 	if coming {
 		m.body.reads.Done()
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -106,7 +106,7 @@
 
 // testUpstream has connections settle at once.
 func testUpstream(t *testing.T, most int) *upstream {
-	u := &upstream{conns.New(conns.Options{IdleFor: time.Hour, Connect: patience, Most: most})}
+	u := &upstream{pool: conns.New(conns.Options{IdleFor: time.Hour, Connect: patience, Most: most})}
 	t.Cleanup(u.pool.Close)
 	return u
 }
