--- a/internal/ledger/cold.go
+++ b/internal/ledger/cold.go
@@ -8,7 +8,8 @@
 // Cold counts what comes to one cold server from all nodes together, and by how much that is over what chance
 // explains. Its zero value is ready for a server that has just started.
 type Cold struct {
-	came []arrival // within the rule's window
+	came []arrival // within the rule's window: as many as come in it
+	sum  float64   // of their work
 	over float64
 }
 
@@ -23,18 +24,16 @@
 // N + 2 of them, N being that, as more is no chance.
 func (c *Cold) Add(now, window time.Duration, work, allowed float64) {
 	c.came = append(c.came, arrival{now, work})
+	c.sum += work
 	for now-c.came[0].at >= window {
+		c.sum -= c.came[0].work
 		c.came = c.came[1:]
 	}
-	sum := 0.0
-	for _, a := range c.came {
-		sum += a.work
-	}
-	c.over = max(c.over, sum-allowed-2*math.Sqrt(allowed)-2)
+	c.over = max(c.over, c.sum-allowed-2*math.Sqrt(allowed)-2)
 }
 
 // Restart begins anew with a server that has started again; Over goes on.
-func (c *Cold) Restart() { c.came = nil }
+func (c *Cold) Restart() { c.came, c.sum = nil, 0 }
 
 // Over gives the most by which a window was over that so far, in requests of mean work; 0: none was.
 func (c *Cold) Over() float64 { return c.over }
--- a/internal/sim/server.go
+++ b/internal/sim/server.go
@@ -47,6 +47,7 @@
 	// pushedMost is the most that came while it was cold, as a part of what pushes it over.
 	pushedMost float64
 	cold       ledger.Cold   // what came while it was cold
+	mean       float64       // of the classes' work, in seconds
 	work       time.Duration // done so far, for the report
 	ran        int64
 }
@@ -77,7 +78,11 @@
 
 // NewServer makes one that has been up for long.
 func NewServer(o ServerOptions, e *Engine, rng *rand.Rand, l *Ledger) *Server {
-	return &Server{opt: o, engine: e, rng: rng, ledger: l, slow: 1, started: o.Entry.Started}
+	s := &Server{opt: o, engine: e, rng: rng, ledger: l, slow: 1, started: o.Entry.Started}
+	for class := range len(o.Service) { // in their order: a sum's last bits hang on it
+		s.mean += o.Service[class].Mean.Seconds() / float64(len(o.Service))
+	}
+	return s
 }
 
 // share is the part of its capacity that it has while it is cold.
@@ -154,9 +159,8 @@
 		s.cold.Restart()
 		return
 	}
-	mean := s.meanWork()
-	s.cold.Add(now, s.opt.Rules.FallFor, s.opt.Service[j.class].Mean.Seconds()/mean,
-		s.opt.Rules.FallMultiple*float64(s.opt.Parallel)*share*s.opt.Rules.FallFor.Seconds()/mean)
+	s.cold.Add(now, s.opt.Rules.FallFor, s.opt.Service[j.class].Mean.Seconds()/s.mean,
+		s.opt.Rules.FallMultiple*float64(s.opt.Parallel)*share*s.opt.Rules.FallFor.Seconds()/s.mean)
 	span := s.opt.Rules.FallFor.Seconds()
 	if gone := (now - s.pushedAt).Seconds(); gone > 0 {
 		s.pushed *= max(0, 1-gone/span)
@@ -176,15 +180,6 @@
 	}
 }
 
-// meanWork is the mean of its classes' work in seconds.
-func (s *Server) meanWork() float64 {
-	sum := 0.0
-	for _, t := range s.opt.Service {
-		sum += t.Mean.Seconds()
-	}
-	return sum / float64(len(s.opt.Service))
-}
-
 // Crash ends the process: what it held is gone, connections to it are refused.
 func (s *Server) Crash() {
 	s.life++
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -61,6 +61,7 @@
 type Box struct {
 	opt       BoxOptions
 	classes   map[string]Class
+	mean      float64 // of the classes' work, in seconds
 	ledger    *Ledger
 	discovery *Discovery
 	addr      string
@@ -92,6 +93,7 @@
 	}
 	for _, c := range opt.Classes {
 		b.classes[c.Name] = c
+		b.mean += c.Work.Seconds() / float64(len(opt.Classes))
 	}
 	if opt.Cold {
 		b.booted = time.Now()
@@ -268,11 +270,7 @@
 		return false
 	}
 	limit := b.opt.FallMultiple * share * float64(b.opt.Cores) * b.opt.Speed // core seconds a second
-	mean := 0.0
-	for _, c := range b.classes {
-		mean += c.Work.Seconds() / float64(len(b.classes))
-	}
-	b.cold.Add(now.Sub(b.booted), b.opt.FallFor, work.Seconds()/mean, limit*b.opt.FallFor.Seconds()/mean)
+	b.cold.Add(now.Sub(b.booted), b.opt.FallFor, work.Seconds()/b.mean, limit*b.opt.FallFor.Seconds()/b.mean)
 	if !b.loadAt.IsZero() {
 		b.load = max(0, b.load-limit*now.Sub(b.loadAt).Seconds())
 	}
