--- a/cmd/otterstep/main_test.go
+++ b/cmd/otterstep/main_test.go
@@ -36,6 +36,41 @@
 	return cmd
 }
 
+// started starts a program, which is ended with the test at the latest. until reads its log up to a line that holds
+// the word; it holds 1,000 lines, which is more than these programs write.
+func started(t *testing.T, cmd *exec.Cmd) (until func(word string) string) {
+	t.Helper()
+	lines := make(chan string, 1000)
+	read, write := io.Pipe()
+	cmd.Stderr = write
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill(); write.Close() })
+	go func() {
+		defer close(lines)
+		for in := bufio.NewScanner(read); in.Scan(); {
+			lines <- in.Text()
+		}
+	}()
+	return func(word string) string {
+		t.Helper()
+		for {
+			select {
+			case line, more := <-lines:
+				if !more {
+					t.Fatalf("the log ends without %q", word)
+				}
+				if strings.Contains(line, word) {
+					return line
+				}
+			case <-time.After(20 * time.Second):
+				t.Fatalf("the log does not come to %q", word)
+			}
+		}
+	}
+}
+
 func configFile(t testing.TB, change func(map[string]any)) string {
 	t.Helper()
 	config := map[string]any{
@@ -283,21 +318,9 @@
 		}
 	}
 	cmd := serve("--listen", "127.0.0.1:0", "--server", service.Listener.Addr().String())
-	log, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Process.Kill()
-	lines := bufio.NewScanner(log)
-	addr := ""
-	for addr == "" && lines.Scan() {
-		if _, rest, ok := strings.Cut(lines.Text(), "listen="); ok {
-			addr, _, _ = strings.Cut(rest, " ")
-		}
-	}
+	until := started(t, cmd)
+	_, rest, _ := strings.Cut(until("listen="), "listen=")
+	addr, _, _ := strings.Cut(rest, " ")
 	resp, err := http.Post("http://"+addr+"/tea", "", nil)
 	if err != nil {
 		t.Fatal(err)
@@ -309,7 +332,6 @@
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	_, _ = io.Copy(io.Discard, log)
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("ended with %v", err)
 	}
--- a/cmd/otterstep/signals_test.go
+++ b/cmd/otterstep/signals_test.go
@@ -28,25 +28,7 @@
 		}}}
 	})
 	cmd := program(path)
-	log, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Process.Kill()
-	lines := bufio.NewScanner(log)
-	until := func(word string) (line string) {
-		t.Helper()
-		for lines.Scan() {
-			if strings.Contains(lines.Text(), word) {
-				return lines.Text()
-			}
-		}
-		t.Fatalf("the log ends without %q", word)
-		return ""
-	}
+	until := started(t, cmd)
 	_, rest, _ := strings.Cut(until("msg=ready"), "listen=")
 	c, err := net.Dial("tcp", strings.TrimSpace(rest))
 	if err != nil {
@@ -75,8 +57,6 @@
 	}
 	c.Close()
 	until("msg=stopped")
-	for lines.Scan() {
-	}
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("ended with %v", err)
 	}
--- a/internal/node/ahead.go
+++ b/internal/node/ahead.go
@@ -65,44 +65,34 @@
 
 // Read gives what was read ahead first.
 func (c *aheadConn) Read(b []byte) (int, error) {
-	c.stop()
-	c.mu.Lock()
-	if len(c.buf) > 0 {
-		n := copy(b, c.buf)
-		if c.buf = c.buf[n:]; len(c.buf) == 0 {
-			c.buf = nil
-		}
-		c.mu.Unlock()
-		return n, nil
-	}
-	flooded, err := c.flooded, c.err
-	c.mu.Unlock()
-	switch {
-	case flooded:
-		return 0, errFlood
-	case err != nil:
-		return 0, err
+	if n, err := c.kept(b); n > 0 || err != nil {
+		return n, err
 	}
 	return c.Conn.Read(b)
 }
 
-// stop ends the reading ahead.
-func (c *aheadConn) stop() {
+// kept ends the reading ahead and gives what is left of it; nothing where there was none.
+func (c *aheadConn) kept(b []byte) (n int, err error) {
 	c.mu.Lock()
-	ended := c.reading
-	if c.reading = nil; ended != nil {
-		c.stopping = true
+	defer c.mu.Unlock()
+	if ended := c.reading; ended != nil {
+		c.reading, c.stopping = nil, true
 		_ = c.Conn.SetReadDeadline(longAgo) // a connection that can't has ended, and the read with it
+		c.mu.Unlock()
+		<-ended
+		c.mu.Lock()
+		c.stopping = false
+		_ = c.Conn.SetReadDeadline(c.deadline) // likewise
 	}
-	c.mu.Unlock()
-	if ended == nil {
-		return
+	switch n = copy(b, c.buf); {
+	case n > 0:
+		c.buf = c.buf[n:]
+	case c.flooded:
+		err = errFlood
+	default:
+		c.buf, err = nil, c.err
 	}
-	<-ended
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.stopping = false
-	_ = c.Conn.SetReadDeadline(c.deadline) // likewise
+	return n, err
 }
 
 // SetReadDeadline is net.Conn's; it does not keep reading ahead from being stopped.
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -33,8 +33,6 @@
 // the longest idle ones. If that won't do, because so many requests are open,
 // further ones are refused at once. More than most+spare are never accepted.
 type clients struct {
-	all int // descriptors at the start
-
 	most, spare int // under mu
 
 	mu      sync.Mutex
@@ -59,9 +57,9 @@
 	begun   bool      // bytes of a request's head have come, and not all of it
 	framing framing   // the reader's
 
-	socket syscall.Conn       // nil where there is none to look at
-	ahead  *aheadConn         // Conn, where it is known who is to be told of the client's leaving:
-	left   context.CancelFunc // ends the context of the connection's requests
+	socket syscall.RawConn    // nil where there is none to look at
+	ahead  *aheadConn         // Conn
+	left   context.CancelFunc // ends the context of the connection's requests; nil: it has none
 }
 
 type clientKey struct{}
@@ -69,11 +67,7 @@
 // withClient is http.Server's ConnContext.
 func withClient(ctx context.Context, conn net.Conn) context.Context {
 	c := conn.(*client)
-	ctx, left := context.WithCancel(context.WithValue(ctx, clientKey{}, c))
-	c.group.mu.Lock()
-	defer c.group.mu.Unlock()
-	c.ahead = &aheadConn{Conn: c.Conn}
-	c.Conn, c.left = c.ahead, left
+	ctx, c.left = context.WithCancel(context.WithValue(ctx, clientKey{}, c))
 	return ctx
 }
 
@@ -85,7 +79,7 @@
 
 func newClients(descriptors int) *clients {
 	spare := descriptors / 8
-	return &clients{all: descriptors, most: descriptors - spare, spare: spare, conns: map[*client]struct{}{}}
+	return &clients{most: descriptors - spare, spare: spare, conns: map[*client]struct{}{}}
 }
 
 // clientListener accepts clients.
@@ -98,8 +92,7 @@
 	return clientListener{l, g}
 }
 
-// setDescriptors changes how many descriptors there are for clients, to at most as many as
-// there were at the start.
+// setDescriptors changes how many descriptors there are for clients.
 func (g *clients) setDescriptors(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -123,8 +116,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &client{Conn: conn, group: l.group}
-	c.socket, _ = conn.(syscall.Conn)
+	ahead := &aheadConn{Conn: conn}
+	c := &client{Conn: ahead, ahead: ahead, group: l.group}
+	if s, ok := conn.(syscall.Conn); ok {
+		c.socket, _ = s.SyscallConn() // nil on an error: then nobody looks at it
+	}
 	c.framing.begin()
 	return c, nil
 }
@@ -157,12 +153,8 @@
 	if c.socket == nil {
 		return false
 	}
-	raw, err := c.socket.SyscallConn()
-	if err != nil {
-		return true
-	}
 	gone := false
-	err = raw.Control(func(fd uintptr) { // Read would wait for net/http's look
+	err := c.socket.Control(func(fd uintptr) { // Read would wait for net/http's look
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -45,9 +45,11 @@
 // which toldBehind allows for, and what it has not got to is not taken for silence.
 func timesFor(asked bool) listTimes {
 	if asked {
-		return listTimes{wait: 10 * time.Second, watch: 11 * time.Second, whole: 5 * time.Second}
+		const wait = 10 * time.Second
+		return listTimes{wait: wait, watch: wait + toldBehind/2, whole: 5 * time.Second}
 	}
-	return listTimes{wait: 4 * time.Second, watch: 4500 * time.Millisecond, whole: time.Second}
+	const watch = toldAfter - 1500*time.Millisecond // the rest is for the new call
+	return listTimes{wait: watch - 500*time.Millisecond, watch: watch, whole: time.Second}
 }
 
 // discovery follows the list of servers: once as a whole, then by a watch that
--- a/internal/node/ending_test.go
+++ b/internal/node/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/life"
 	"otterstep/internal/operator"
 )
 
@@ -204,3 +206,53 @@
 		t.Errorf("%d lines on the SIGHUP ahead of the end, want 1:\n%s", n, log.String())
 	}
 }
+
+// Half a request's head has been read when the node begins to close what rests, on a new connection and on one that was
+// used before: neither is closed over it, and both are answered whole once the rest has come. The rest is sent only
+// when a connection that rested has been closed, so that the closing has begun; the timetable leaves it any time.
+func TestHalfAHeadOutlivesTheClosing(t *testing.T) {
+	t.Parallel()
+	s := newServer(t, says(ok("x"), true))
+	b := startFront(t, testUpstream(t, 8), 1, s.addr)
+	fresh, used, resting := connect(t, b.addr), connect(t, b.addr), connect(t, b.addr)
+	for _, c := range []*clientConn{used, resting} {
+		c.send(t, requestText(t, b.addr, "read", "59"))
+		if code, text, _ := c.answer(t); code != http.StatusOK {
+			t.Fatal(code, text)
+		}
+	}
+	text := map[*clientConn]string{fresh: requestText(t, b.addr, "read", "59"), used: requestText(t, b.addr, "push", "59")}
+	for c := range text {
+		c.send(t, text[c][:30])
+	}
+	waitFor(t, "two heads that have begun", func() bool {
+		g := b.front.clients
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		begun := 0
+		for c := range g.conns {
+			if c.begun {
+				begun++
+			}
+		}
+		return begun == 2
+	})
+	ended := make(chan error, 1)
+	go func() {
+		ended <- drain(context.Background(), time.Now(), life.Termination{Answers: patience, Close: patience, Kill: patience},
+			func() bool { return false }, b.front, b.front.clients, b.server)
+	}()
+	resting.SetReadDeadline(time.Now().Add(patience))
+	if _, err := resting.in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Fatalf("the resting connection: %v, want an end", err)
+	}
+	for c := range text {
+		c.send(t, text[c][30:])
+		if code, body, closes := c.answer(t); code != http.StatusOK || !closes {
+			t.Errorf("answered %d %s, closes %v; want 200 and the end behind it", code, body, closes)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -117,9 +117,6 @@
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
 
-	if c := clientOf(r.Context()); c != nil {
-		m.gone = c.gone
-	}
 	answers := make(chan core.Answer, 1)
 	m.passed = passing.New()
 	defer m.passed.Close()
@@ -208,7 +205,8 @@
 
 // parse looks at all but the body. What it can't make sense of is an error at once.
 func (f *front) parse(r *http.Request) (q core.Request, m *message, err error) {
-	if c := clientOf(r.Context()); c != nil && c.framing.doubtful.Load() {
+	from := clientOf(r.Context())
+	if from != nil && from.framing.doubtful.Load() {
 		// net/http has dropped a Content-Length beside a Transfer-Encoding by now. Two lengths
 		// may hide a second request in the first one's body, so none of these passes.
 		return q, nil, badRequest("Content-Length beside Transfer-Encoding, or a Transfer-Encoding in HTTP/1.0 (RFC 9112, section 6.1)")
@@ -273,7 +271,7 @@
 	m = &message{
 		left:   min(left, rules.Deadline),
 		method: r.Method, uri: r.RequestURI, host: r.Host,
-		header: make(http.Header, len(forwarded)), upstream: f.upstream, lengths: !r.ProtoAtLeast(1, 1),
+		header: make(http.Header, len(forwarded)), upstream: f.upstream, lengths: !r.ProtoAtLeast(1, 1), from: from,
 	}
 	for _, name := range forwarded {
 		if values := r.Header[name]; len(values) > 0 {
--- a/internal/node/full_test.go
+++ b/internal/node/full_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -97,3 +98,35 @@
 		t.Errorf("ended after %v, want %v", took, headTimeout)
 	}
 }
+
+// Whatever comes, no more clients' connections are held than there are descriptors for them; each one that goes lets
+// the next one in.
+func TestNoMoreClientsThanDescriptors(t *testing.T) {
+	t.Parallel()
+	const most = 16
+	g := newClients(most)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	entered, leave := make(chan int, 3*most), make(chan struct{})
+	s := &http.Server{ConnState: g.state, ConnContext: withClient, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		entered <- g.connected()
+		<-leave
+		w.Header().Set("Connection", "close")
+	})}
+	go func() { _ = s.Serve(g.listener(l)) }()
+	t.Cleanup(func() { s.Close() })
+	for range 3 * most {
+		connect(t, l.Addr().String()).send(t, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	}
+	for n := range 3 * most {
+		if held := <-entered; held > most {
+			t.Fatalf("%d connections are held at request %d, there are descriptors for %d", held, n, most)
+		}
+		if n >= most-1 {
+			leave <- struct{}{}
+		}
+	}
+	close(leave)
+}
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -22,8 +22,10 @@
 
 // bench is a front on real connections with its loop and the connections to servers at hand.
 type bench struct {
-	addr string
-	loop *core.Loop
+	addr   string
+	loop   *core.Loop
+	front  *front
+	server *http.Server
 }
 
 // startFront serves clients by way of so many servers, all at one address. Classes have a minute's time, so that
@@ -55,7 +57,7 @@
 	f := newFront(l, up, site, g, 1<<20, new(life.Life), false)
 	s := f.server(quiet())
 	t.Cleanup(func() { s.Close(); listener.Close() })
-	return &bench{listener.Addr().String(), l}, func() { go func() { _ = s.Serve(g.listener(listener)) }() }
+	return &bench{listener.Addr().String(), l, f, s}, func() { go func() { _ = s.Serve(g.listener(listener)) }() }
 }
 
 // open counts the requests that are owed an answer or have an attempt out.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -609,18 +609,13 @@
 // the answer's status.
 func dialClient(t *testing.T, addr string) (c net.Conn, ask func() (int, error)) {
 	t.Helper()
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	in := bufio.NewReader(c)
-	return c, func() (int, error) {
-		if err := clientRequest(t, addr, "read", "2.9").Write(c); err != nil {
+	own := connect(t, addr)
+	return own, func() (int, error) {
+		if err := clientRequest(t, addr, "read", "2.9").Write(own); err != nil {
 			return 0, err
 		}
-		c.SetReadDeadline(time.Now().Add(patience))
-		resp, err := http.ReadResponse(in, nil)
+		own.SetReadDeadline(time.Now().Add(patience))
+		resp, err := http.ReadResponse(own.in, nil)
 		if err != nil {
 			return 0, err
 		}
--- a/internal/node/ready_test.go
+++ b/internal/node/ready_test.go
@@ -1,8 +1,8 @@
 package node
 
 import (
-	"context"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -13,7 +13,7 @@
 // of the test's own: well within the 10 s that nine in ten restarted processes have.
 func TestReadyWhateverBecomesOfTheFirstCall(t *testing.T) {
 	t.Parallel()
-	for mode, known := range map[string]hostList{"pushed": {}, "on_request": {}} {
+	for _, mode := range []string{"pushed", "on_request"} {
 		for name, become := range map[string]func(h *hushed, c *call){
 			"silent": func(h *hushed, _ *call) { (*h.limit.Load())() },
 			"silent half-way": func(h *hushed, c *call) {
@@ -28,7 +28,7 @@
 			t.Run(mode+" "+name, func(t *testing.T) {
 				t.Parallel()
 				h := newHushed(t)
-				f := followBy(t, h.Addr().String(), mode, known, h.expire)
+				f := followBy(t, h.addr, mode, hostList{}, h.expire)
 				f.want(t, policy.ListCached, 0)
 				c := h.next(t)
 				if took := <-h.took; took > 6*time.Second {
@@ -44,10 +44,13 @@
 		}
 		t.Run(mode+" refused", func(t *testing.T) {
 			t.Parallel()
-			h := newHushed(t)
-			h.Close()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.Close()
 			select {
-			case <-followBy(t, h.Addr().String(), mode, known, context.WithTimeout).ready:
+			case <-follow(t, l.Addr().String(), mode, hostList{}).ready:
 			case <-time.After(patience):
 				t.Fatal("never ready")
 			}
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -29,7 +28,7 @@
 // hushed is a discovery on the level of bytes: what it says to each call is the test's, and so is the time
 // that a call's limit takes.
 type hushed struct {
-	net.Listener
+	*server
 	calls chan *call
 	limit atomic.Pointer[func()] // lets the present call's time pass
 	took  chan time.Duration     // the limits of calls
@@ -43,30 +42,11 @@
 
 func newHushed(t *testing.T) *hushed {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	h := &hushed{Listener: l, calls: make(chan *call, 16), took: make(chan time.Duration, 64)}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { c.Close() })
-			go func() {
-				for in := bufio.NewReader(c); ; {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					h.calls <- &call{c, r.URL.RawQuery}
-				}
-			}()
-		}
-	}()
+	h := &hushed{calls: make(chan *call, 16), took: make(chan time.Duration, 64)}
+	h.server = newServer(t, func(_ int64, r *http.Request, c net.Conn) bool {
+		h.calls <- &call{c, r.URL.RawQuery}
+		return true
+	})
 	return h
 }
 
@@ -117,7 +97,7 @@
 			t.Run(mode+" "+where, func(t *testing.T) {
 				t.Parallel()
 				h := newHushed(t)
-				f := followBy(t, h.Addr().String(), mode, hostList{}, h.expire)
+				f := followBy(t, h.addr, mode, hostList{}, h.expire)
 				f.want(t, policy.ListCached, 0)
 				if mode == "on_request" {
 					f.watch()
@@ -140,7 +120,7 @@
 				f.want(t, policy.ListDelta, 1)
 				io.WriteString(h.next(t), part)
 				moved := newHushed(t) // a reload goes ahead of any silence
-				f.move(t.Context(), moved.Addr().String())
+				f.move(t.Context(), moved.addr)
 				c := moved.next(t)
 				if c.query != "" {
 					t.Errorf("call %q of another discovery, want the whole list", c.query)
@@ -162,7 +142,7 @@
 func TestListsInAllForms(t *testing.T) {
 	t.Parallel()
 	h := newHushed(t)
-	f := followBy(t, h.Addr().String(), "pushed", hostList{}, h.expire)
+	f := followBy(t, h.addr, "pushed", hostList{}, h.expire)
 	f.want(t, policy.ListCached, 0)
 	c := h.next(t)
 	for _, b := range []byte("HTTP/1.1 200 OK\r\ncontent-length: " + strconv.Itoa(len(answer(1, true))) + "\r\n\r\n" + answer(1, true)) {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -52,8 +52,7 @@
 	passed   *passing.Hand // where an answer goes that is too large to be kept; nil: nowhere
 	lengths  bool          // its client knows no chunks: it could not tell a cut answer without a length from a whole one
 	upstream *upstream
-	// gone looks whether the client has left, right before an attempt's first byte; nil: nobody can tell.
-	gone func() bool
+	from     *client // whose leaving is looked for right before an attempt's first byte; nil: nobody can tell
 }
 
 // turn is what an attempt needs of the core; core.Turn implements it.
@@ -187,7 +186,7 @@
 		u.pool.Put(c, release())
 		return reply{status: policy.Moot, spent: true}
 	}
-	if m.gone != nil && m.gone() || !t.Begin() {
+	if m.from != nil && m.from.gone() || !t.Begin() {
 		if coming {
 			m.body.reads.Done()
 		}
--- a/internal/sim/cold_test.go
+++ b/internal/sim/cold_test.go
@@ -7,7 +7,6 @@
 
 	"otterstep/internal/ledger"
 	"otterstep/internal/standin/racing"
-	"otterstep/policy"
 )
 
 // coldFleet is a fleet of thirty nodes that each see little. Servers come back cold under a burst, one by one and a
@@ -17,13 +16,7 @@
 	o.Told = Times{Kind: "uniform", Mean: 500 * time.Millisecond}
 	o.Settings.Rules.ColdFrom, o.Settings.Rules.ColdFor = 0.1, 8*time.Second
 	o.Settings.Rules.FallMultiple, o.Settings.Rules.FallFor = 2, 1500*time.Millisecond
-	first := o.Servers[0]
-	o.Servers = nil
-	for i := range 12 {
-		s := first
-		s.Entry.Server, s.Addr, s.Rules = policy.ServerID(i+1), s.Addr+string(rune('a'+i)), o.Settings.Rules
-		o.Servers = append(o.Servers, s)
-	}
+	servers(o, 12, func(s *ServerOptions) { s.Rules = o.Settings.Rules })
 	o.Load.Rate = 1500 // of 2,400 that all servers can do warm
 	var new []int
 	for i := range 10 {
--- a/internal/sim/fleet_test.go
+++ b/internal/sim/fleet_test.go
@@ -1,25 +1,17 @@
 package sim
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
 	"otterstep/internal/standin/racing"
-	"otterstep/policy"
 )
 
 // large is a tier of 80 nodes over 60 servers, asked discovery included: one service that takes 50 ms for a call,
 // so 4 s for one of each node.
 func large(change func(*Options)) Options {
 	return small(func(o *Options) {
-		first := o.Servers[0]
-		o.Servers = nil
-		for i := range 60 {
-			s := first
-			s.Entry.Server, s.Addr = policy.ServerID(i+1), fmt.Sprint("s", i+1)
-			o.Servers = append(o.Servers, s)
-		}
+		servers(o, 60, func(*ServerOptions) {})
 		o.Nodes, o.Load.Rate, o.For = 80, 20, 20*time.Second
 		o.Asked, o.Call, o.AskWait = true, 50*time.Millisecond, 2*time.Second
 		if change != nil {
--- a/internal/sim/thin_test.go
+++ b/internal/sim/thin_test.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -18,15 +17,10 @@
 		c := &o.Settings.Classes[i]
 		c.Aim, c.Deadline, c.Effect = 500*time.Millisecond, 1250*time.Millisecond, policy.Safe
 	}
-	first := o.Servers[0]
-	o.Servers = nil
 	service := Times{Kind: "lognormal", Mean: 150 * time.Millisecond, Sigma: 0.4}
-	for i := range 35 {
-		s := first
-		s.Entry.Server, s.Addr = policy.ServerID(i+1), fmt.Sprint("s", i+1)
+	servers(o, 35, func(s *ServerOptions) {
 		s.Parallel, s.Queue, s.Service = 6, 24, map[int]Times{0: service, 1: service, 2: service}
-		o.Servers = append(o.Servers, s)
-	}
+	})
 	o.Load.Rate, o.Load.Habits = 800, comeback.Habits{Heed: 0.85, Tries: 2}
 }
 
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -41,6 +41,18 @@
 	return o
 }
 
+// servers puts so many servers like the first one, but for change, in the place of those that there are.
+func servers(o *Options, n int, change func(*ServerOptions)) {
+	first := o.Servers[0]
+	o.Servers = nil
+	for i := range n {
+		s := first
+		s.Entry.Server, s.Addr = policy.ServerID(i+1), fmt.Sprint("s", i+1)
+		change(&s)
+		o.Servers = append(o.Servers, s)
+	}
+}
+
 func run(t testing.TB, o Options, seed uint64) *Results {
 	t.Helper()
 	w, err := New(o, seed)
