--- a/review/lib.sh
+++ b/review/lib.sh
@@ -104,3 +104,22 @@
 		printf '[[web.rule]]\npath = "/payment-entry/"\nclass = "payment-entry"\n'
 	} >"$file"
 }
+
+# web_front_kigali is web_front with the classes, times and attempts of kigali-main, and a limit on the silence within an
+# answer that has begun.
+web_front_kigali() {
+	file=$1 at=$2 stall=$3
+	shift 3
+	{
+		printf '[[web]]\nname = "channel"\nlisten = "%s"\nattempts = 4\nretry_after = "600ms"\n' "$at"
+		printf '[web.limits]\nstall = "%s"\n' "$stall"
+		n=0
+		for s in "$@"; do
+			n=$((n + 1))
+			printf '[[web.server]]\nname = "s%d"\naddress = "%s"\n' "$n" "$s"
+		done
+		printf '[[web.class]]\nname = "avail-read"\naim = "580ms"\ndeadline = "1400ms"\n'
+		printf '[[web.class]]\nname = "booking-push"\naim = "750ms"\ndeadline = "1900ms"\nrepeats_dropped = "6s"\n'
+		printf '[[web.rule]]\npath = "/booking-push/"\nclass = "booking-push"\n'
+	} >"$file"
+}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -26,6 +26,7 @@
 	get := flags.String("get", "round-lookup", "class of the GETs")
 	post := flags.String("post", "payment-entry", "class of the POSTs")
 	posts := flags.Float64("posts", 0.24, "share of the POSTs")
+	keyed := flags.Bool("keyed", false, "the POSTs carry a key")
 	patience := flags.Duration("patience", 3*time.Second, "an answer is waited for so long")
 	_ = flags.Parse(args)
 	book, err := openLedger(*path, *name)
@@ -49,21 +50,28 @@
 		}
 		r.Header.Set("X-Correlation-Id", id)
 		r.Header.Set("X-Service-Class", class)
+		if *keyed && method == http.MethodPost {
+			r.Header.Set("Idempotency-Key", id)
+		}
 		r.GetBody = nil // nothing is sent again
 		all.Go(func() {
 			book.add("sent %s %s", id, r.Method)
+			began, text := time.Now(), []byte(nil)
 			answer, err := caller.Do(r)
-			if err != nil {
-				book.add("no answer to %s: %v", id, err)
-				return
+			if err == nil {
+				defer answer.Body.Close()
+				text, err = io.ReadAll(io.LimitReader(answer.Body, 1<<16))
 			}
-			defer answer.Body.Close()
-			text, err := io.ReadAll(io.LimitReader(answer.Body, 1<<16))
-			if err != nil {
-				book.add("broken answer to %s: %v", id, err)
-				return
+			var timeout interface{ Timeout() bool }
+			took := time.Since(began).Round(time.Millisecond)
+			switch {
+			case err == nil:
+				book.add("got %s %d %.40q", id, answer.StatusCode, text)
+			case errors.As(err, &timeout) && timeout.Timeout():
+				book.add("gave up %s after %v, with %d bytes of an answer and the connection open", id, took, len(text))
+			default:
+				book.add("broken %s after %v, %d bytes of an answer: %v", id, took, len(text), err)
 			}
-			book.add("got %s %d %q", id, answer.StatusCode, text)
 		})
 	}
 	all.Wait()
@@ -125,19 +133,31 @@
 	rate := flags.Int64("rate", 0, "bytes a second; 0: as fast as it comes")
 	limit := flags.Duration("for", time.Minute, "how long at most")
 	class := flags.String("class", "avail-read", "class")
+	times := flags.Int("times", 1, "so many at once, each on a connection of its own")
 	account := flags.String("account", "", "account")
 	_ = flags.Parse(args)
 	book, err := openLedger(*path, *name)
 	if err != nil {
 		return err
 	}
-	conn, err := net.Dial("tcp", *to)
+	var all sync.WaitGroup
+	failed := make(chan error, *times)
+	for n := range *times {
+		all.Go(func() {
+			failed <- readLarge(book, *to, *class, *account, fmt.Sprintf("%s-%d", *name, n+1), *rate, *limit)
+		})
+	}
+	all.Wait()
+	return <-failed
+}
+
+func readLarge(book *ledger, to, class, account, id string, rate int64, limit time.Duration) error {
+	conn, err := net.Dial("tcp", to)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
-	id := *name + "-1"
-	fmt.Fprintf(conn, "GET /%s/large HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: %s\r\nX-Service-Class: %s\r\nX-Account: %s\r\nX-Time-Left: 1.400\r\n\r\n", *class, id, *class, *account)
+	fmt.Fprintf(conn, "GET /%s/large HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: %s\r\nX-Service-Class: %s\r\nX-Account: %s\r\nX-Time-Left: 1.400\r\n\r\n", class, id, class, account)
 	book.add("sent %s", id)
 	began := time.Now()
 	answer, err := http.ReadResponse(bufio.NewReaderSize(conn, 4096), nil)
@@ -148,10 +168,10 @@
 	book.add("got %s: %d, %d bytes to come, first bytes after %v", id, answer.StatusCode, answer.ContentLength, time.Since(began).Round(time.Millisecond))
 	began = time.Now()
 	got, piece, said := int64(0), make([]byte, 4096), time.Now()
-	for time.Since(began) < *limit {
+	for time.Since(began) < limit {
 		n, err := answer.Body.Read(piece)
 		got += int64(n)
-		if time.Since(said) > 5*time.Second {
+		if time.Since(said) > 2*time.Second {
 			said = time.Now()
 			book.add("has %d bytes of %s", got, id)
 		}
@@ -163,21 +183,22 @@
 			book.add("cut %s: %d of %d bytes in %v: %v", id, got, answer.ContentLength, time.Since(began).Round(time.Millisecond), err)
 			return nil
 		}
-		if *rate > 0 {
-			time.Sleep(time.Until(began.Add(time.Duration(float64(got) / float64(*rate) * float64(time.Second)))))
+		if rate > 0 {
+			time.Sleep(time.Until(began.Add(time.Duration(float64(got) / float64(rate) * float64(time.Second)))))
 		}
 	}
 	book.add("open %s: %d of %d bytes in %v, and it goes on", id, got, answer.ContentLength, time.Since(began).Round(time.Millisecond))
 	return nil
 }
 
-// bulk is a server whose answers are large. It gives all it has as fast as it is taken.
+// bulk is a server whose answers are large. It gives them at a steady rate, each on its own.
 func bulk(args []string) error {
 	flags := flag.NewFlagSet("bulk", flag.ExitOnError)
 	listen := flags.String("listen", "", "address")
 	name := flags.String("name", "", "name in the record")
 	path := flags.String("ledger", "", "file")
 	size := flags.Int64("size", 32<<20, "bytes of an answer")
+	rate := flags.Int64("rate", 4<<20, "bytes a second")
 	_ = flags.Parse(args)
 	book, err := openLedger(*path, *name)
 	if err != nil {
@@ -187,12 +208,13 @@
 		id := r.Header.Get("X-Correlation-Id")
 		book.add("run %s", id)
 		w.Header().Set("Content-Length", fmt.Sprint(*size))
-		piece, given := make([]byte, 32<<10), int64(0)
+		piece, given, began := make([]byte, 32<<10), int64(0), time.Now()
 		for given < *size {
+			time.Sleep(time.Until(began.Add(time.Duration(float64(given) / float64(*rate) * float64(time.Second)))))
 			n, err := w.Write(piece)
 			given += int64(n)
 			if err != nil {
-				book.add("%s was cut off by the node: %d of %d bytes were given: %v", id, given, *size, err)
+				book.add("still gave %s, %d of %d bytes, when the node ended the connection: %v", id, given, *size, err)
 				return
 			}
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 		"hider":     hider,
 		"reader":    reader,
 		"bulk":      bulk,
+		"uploader":  uploader,
 	}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "standin: no such command")
