--- a/review/lib.sh
+++ b/review/lib.sh
@@ -105,14 +105,12 @@
 	} >"$file"
 }
 
-# web_front_kigali is web_front with the classes, times and attempts of kigali-main, and a limit on the silence within an
-# answer that has begun.
+# web_front_kigali is web_front with the classes, times and attempts of kigali-main, and servers over HTTP/1.1.
 web_front_kigali() {
-	file=$1 at=$2 stall=$3
-	shift 3
+	file=$1 at=$2
+	shift 2
 	{
 		printf '[[web]]\nname = "channel"\nlisten = "%s"\nattempts = 4\nretry_after = "600ms"\n' "$at"
-		printf '[web.limits]\nstall = "%s"\n' "$stall"
 		n=0
 		for s in "$@"; do
 			n=$((n + 1))
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,9 +18,6 @@
 		"server":    server,
 		"h2server":  h2server,
 		"client":    client,
-		"hider":     hider,
-		"reader":    reader,
-		"bulk":      bulk,
 		"uploader":  uploader,
 	}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -13,7 +13,6 @@
 	"os"
 	"os/signal"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -36,9 +35,6 @@
 	second := flags.Float64("second", 0, "share of answers with a second copy behind them")
 	from := flags.Duration("from", 2*time.Millisecond, "the second copy comes so late at least")
 	to := flags.Duration("to", 6*time.Millisecond, "and so late at most")
-	pieces := flags.Int("pieces", 1, "an answer is written in so many pieces")
-	gap := flags.Duration("gap", 20*time.Millisecond, "time between two pieces")
-	size := flags.Int("size", 0, "least length of an answer's body")
 	strict := flags.Bool("strict", false, "look again right before the second copy whether a request has come meanwhile")
 	_ = flags.Parse(args)
 	book, err := openLedger(*path, *name)
@@ -77,20 +73,10 @@
 				book.add("run %s %s %s", id, r.Method, r.URL.Path)
 				time.Sleep(work(*mean))
 				text := "answer to " + id
-				if more := *size - len(text); more > 0 {
-					text += strings.Repeat(".", more)
-				}
 				answer := "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text
 				mu.Lock()
 				waiting = false
-				for n := range *pieces {
-					if n > 0 {
-						time.Sleep(*gap)
-					}
-					if _, err = io.WriteString(conn, answer[len(answer)*n / *pieces:len(answer)*(n+1) / *pieces]); err != nil {
-						break
-					}
-				}
+				_, err = io.WriteString(conn, answer)
 				mu.Unlock()
 				if err != nil {
 					return
