--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -3,7 +3,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strconv"
@@ -30,19 +32,25 @@
 	}
 }
 
-// ports prints free loopback ports, as many as the argument says.
+// ports prints free loopback ports, as many as the argument says. They lie below those that the system gives to
+// connections, so that none of these takes one while a server is replaced, and are drawn at random, as scripts may run
+// beside one another.
 func ports(args []string) error {
 	n, err := strconv.Atoi(args[0])
 	if err != nil {
 		return err
 	}
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; n > 0 && tries < 10000; tries++ {
+		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(10000+rand.IntN(20000)))
 		if err != nil {
-			return err
+			continue // in use
 		}
 		defer l.Close()
 		fmt.Println(l.Addr().(*net.TCPAddr).Port)
+		n--
+	}
+	if n > 0 {
+		return errors.New("too few free ports")
 	}
 	return nil
 }
