--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -33,6 +33,7 @@
 	record *os.File
 	broken []string
 	procs  []*process
+	ending bool // no process is started any more
 }
 
 func main() {
@@ -98,6 +99,7 @@
 // end ends all processes that the case has started, and this one.
 func (p *play) end(code int) {
 	p.mu.Lock()
+	p.ending = true
 	procs := p.procs
 	p.mu.Unlock()
 	for _, r := range procs {
@@ -124,13 +126,20 @@
 	cmd := exec.Command("/bin/sh", "-c", line)
 	cmd.Env = append(os.Environ(), env...)
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		p.impossible("start of %s: %v", name, err)
+	p.mu.Lock()
+	if p.ending {
+		p.mu.Unlock()
+		select {} // until this process ends
 	}
+	err = cmd.Start()
 	r := &process{name: name, cmd: cmd, ended: make(chan struct{})}
-	p.mu.Lock()
-	p.procs = append(p.procs, r)
+	if err == nil {
+		p.procs = append(p.procs, r)
+	}
 	p.mu.Unlock()
+	if err != nil {
+		p.impossible("start of %s: %v", name, err)
+	}
 	p.note("%s started, process %d: %s", name, cmd.Process.Pid, line)
 	go func() {
 		_ = cmd.Wait()
--- a/review/cases2/node.go
+++ b/review/cases2/node.go
@@ -11,6 +11,8 @@
 type node struct {
 	*process
 	listen, operator string
+	line             string
+	env              []string
 }
 
 // settings are like those of a small deployment: one node, reads and keyed pushes, a pushed list.
@@ -40,12 +42,25 @@
 	if err != nil {
 		p.impossible("%v", err)
 	}
-	line := p.command() + " -operator '" + p.file("operator.toml", operatorFile) + "'"
-	n.process = p.start("node", line, "PROXY_CONFIG="+p.file("config.json", string(config)), "TMPDIR="+p.temp)
+	n.line = p.command() + " -operator '" + p.file("operator.toml", operatorFile) + "'"
+	n.env = []string{"PROXY_CONFIG=" + p.file("config.json", string(config)), "TMPDIR=" + p.temp}
+	n.process = p.start("node", n.line, n.env...)
+	p.awaitReady(n)
+	return n
+}
+
+// startAgain starts a node that has ended under its old addresses.
+func (p *play) startAgain(n *node) {
+	again := *n
+	again.process = p.start("node again", n.line, n.env...)
+	p.awaitReady(&again)
+}
+
+func (p *play) awaitReady(n *node) {
 	for range 200 {
 		if status, _ := p.get("http://" + n.listen + "/up"); status == http.StatusOK {
 			p.note("node is ready: clients at %s, operators at %s", n.listen, n.operator)
-			return n
+			return
 		}
 		select {
 		case <-n.ended:
@@ -54,7 +69,6 @@
 		}
 	}
 	p.impossible("the node is not ready: %s", p.log(n.process))
-	return nil
 }
 
 var plain = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
