Case 9: a server of calls that an operator took out goes on getting calls

Seen: behind the node's yes to cordon s-pbx1 all 20 new dialogs go there. At fault: internal/node/operations.go tells only the platform's pool.

--- a/review/cases2/byhand.go
+++ b/review/cases2/byhand.go
@@ -53,6 +53,9 @@
 			p.impossible("the node did not say yes")
 		}
 		out = time.Now()
+		if p.call(n, "/admin/cordon/s-never-listed") == http.StatusOK {
+			p.impossible("the node says yes to a server that was never listed")
+		}
 	}
 	time.Sleep(time.Second)
 	calls("after-", 20)
