--- a/review/cases2/idle.go
+++ b/review/cases2/idle.go
@@ -31,9 +31,8 @@
 		servers += fmt.Sprintf("[[web.server]]\nname = %q\naddress = %q\n", name, l.Addr())
 	}
 	listen := p.freeTCP()
-	file := p.file("web.toml", fmt.Sprintf("[[web]]\nname = \"shop\"\nlisten = %q\n%s[[web.class]]\nname = \"default\"\naim = \"1s\"\ndeadline = %q\n[web.limits]\nconnections = %d\n",
+	p.startNode(p.startDiscovery().addr, fmt.Sprintf("[[web]]\nname = \"shop\"\nlisten = %q\n%s[[web.class]]\nname = \"default\"\naim = \"1s\"\ndeadline = %q\n[web.limits]\nconnections = %d\n",
 		listen, servers, deadline, connections))
-	n := p.start("node", p.command()+" serve --file '"+file+"'")
 	// ask sends one request on a new connection, which stays open, and returns the status of its answer, 0 for none.
 	ask := func(path string) (c net.Conn, status int, err error) {
 		if c, err = net.DialTimeout("tcp", listen, time.Second); err != nil {
@@ -58,20 +57,22 @@
 			break
 		}
 		if i == 100 {
-			p.impossible("the front does not serve: %v\n%s", err, p.log(n))
+			p.impossible("the front does not serve: %v", err)
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	time.Sleep(200 * time.Millisecond)
 	if p.trouble {
+		answers := map[int]int{}
 		for i := range connections {
 			c, status, err := ask(fmt.Sprintf("/idle/%d", i))
-			if status != http.StatusOK {
-				p.impossible("idle client %d: %d, %v", i, status, err)
+			if status == 0 {
+				p.impossible("idle client %d: %v", i, err)
 			}
+			answers[status]++
 			defer c.Close()
 		}
-		p.note("%d clients have asked once, were answered 200, and keep their connections", connections)
+		p.note("%d clients have asked once, were answered, and keep their connections; answers by status: %v", connections, answers)
 	}
 	began := time.Now()
 	_, status, err := ask("/rooms/7")
