--- a/review/cases2/refused.go
+++ b/review/cases2/refused.go
@@ -42,8 +42,9 @@
 	p.startNode(p.startDiscovery().addr, "[sip]\nudp = \""+sip+"\"\ntoken_key = \""+key+"\"\n[sip.upstream]\ntransport = \"tcp\"\n"+
 		"[[sip.server]]\nname = \"pbx1\"\naddress = \""+one.addr+"\"\n[[sip.server]]\nname = \"pbx2\"\naddress = \""+two.addr+"\"\n")
 	c := p.caller(sip)
-	for _, text := range []string{"1", "2", "3", "4", "5"} {
-		for range 3 { // a refusal says that trying again is harmless
+	for _, text := range []string{"1", "2", "3", "4", "5", "6", "7", "8"} {
+		time.Sleep(500 * time.Millisecond) // longer than pbx1 is avoided for having turned the last one away
+		for range 3 {                      // a refusal says that trying again is harmless
 			d := c.newDialog("text-" + text + "-try-")
 			d.fields = "X-Text: " + text + "\r\n"
 			if c.request(d, "MESSAGE", 12*time.Second) != 503 {
