--- a/review/cases2/sip.go
+++ b/review/cases2/sip.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -92,7 +91,6 @@
 
 	packet net.PacketConn
 	listen net.Listener
-	dead   atomic.Bool
 
 	mu   sync.Mutex
 	seen map[string]*sipRequest // by method and branch
@@ -129,17 +127,6 @@
 	return s
 }
 
-// crash ends the server as the death of its process does: its port is closed and all that it knew is gone.
-func (s *sipServer) crash() {
-	s.p.note("%s at %s: its process dies", s.name, s.addr)
-	s.dead.Store(true)
-	if s.packet != nil {
-		_ = s.packet.Close()
-	} else {
-		_ = s.listen.Close()
-	}
-}
-
 func (s *sipServer) readPackets() {
 	buf := make([]byte, 64<<10)
 	for {
@@ -235,9 +222,6 @@
 
 // reply answers a request. A 200 to an INVITE is repeated until its ACK.
 func (q *sipRequest) reply(code int) {
-	if q.server.dead.Load() {
-		return
-	}
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "SIP/2.0 %d As Scripted\r\n", code)
 	for _, v := range q.all("via") {
