Case 9: calls by hand miss the older process after a killed upgrade

A new process that takes over renames its handover socket over the old one's. If it is killed before its yes, the old process serves on behind a socket without a name, and never takes the path again. The next new process gets "connection refused" and takes that for "no process": there is no link, and a cordon at its door does not reach the older process.

A stand-in's process may now inherit the clients' socket.

--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -25,8 +25,9 @@
 
 // play is one run of a case.
 type play struct {
-	trouble bool   // false with TROUBLE=0: the same without the disruption
-	temp    string // removed at the end
+	trouble bool     // false with TROUBLE=0: the same without the disruption
+	temp    string   // removed at the end
+	accept  *os.File // the clients' listening socket, which processes inherit as descriptor 3; nil for none
 	began   time.Time
 
 	mu     sync.Mutex
@@ -126,6 +127,9 @@
 	cmd := exec.Command("/bin/sh", "-c", line)
 	cmd.Env = append(os.Environ(), env...)
 	cmd.Stdout, cmd.Stderr = log, log
+	if p.accept != nil {
+		cmd.ExtraFiles = []*os.File{p.accept}
+	}
 	p.mu.Lock()
 	if p.ending {
 		p.mu.Unlock()
