--- a/review/cases2/sip.go
+++ b/review/cases2/sip.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// t1 is the base time of SIP's retransmissions (RFC 3261, section 17.1.1.1).
+// t1 is the base time of SIP's retransmissions (RFC 3261, the table of timers).
 const t1 = 500 * time.Millisecond
 
 // sipMessage is a message of SIP: its first line, and its fields in order.
@@ -360,7 +360,7 @@
 		case r := <-responses:
 			c.p.note("caller: receives %d to %s of %s", r.code(), method, d.id)
 			if method == "INVITE" && r.code() < 200 {
-				again.Stop() // RFC 3261, section 17.1.1.2
+				again.Stop() // RFC 3261: a provisional response ends the repeats of an INVITE
 			}
 			if r.code() < 200 {
 				continue
