SIP: no 503 to a caller whose request a server may have run

Cause: respondBest held a kept 503 back only behind NoResponse and later ends; Reset comes before them. The same cause gave a 503 behind a 504, a 503 behind a reset or silence of a request that may be repeated, and a refusal by the core of such a request.

Fix: an exchange remembers whether a failed branch may have run; then neither a server's 503 nor one of the proxy's own goes out. A 503 is the worst of the kept responses. It works since the final response is chosen by all ends, not by the last one alone.

--- a/internal/sip/failure_test.go
+++ b/internal/sip/failure_test.go
@@ -350,6 +350,30 @@
 	}
 }
 
+// Guards against the 503 of a first server as the final response to a request that a second one has processed: over
+// TCP, the second one's connection is reset once it has the INVITE.
+func TestRefusalThenResetIsNoRefusal(t *testing.T) {
+	var mu sync.Mutex
+	met := map[string]bool{} // calls that a server has turned away
+	d := startTestFront(t, testFrontOptions{servers: 2, transport: "tcp", script: func(c *sipua.Call) {
+		id := c.Request.CallID().Value()
+		mu.Lock()
+		again := met[id]
+		met[id] = true
+		mu.Unlock()
+		if again {
+			c.Reset()
+		} else {
+			c.Reply(503)
+		}
+	}})
+	tx := d.caller.Send(sipua.Request{Method: "INVITE"})
+	expectFinal(t, tx, 500)
+	if n := d.countInvites(tx); n != 2 {
+		t.Errorf("%d INVITEs, want one that was turned away and one that ran", n)
+	}
+}
+
 // connWithRemote is a connection with a given remote address.
 type connWithRemote struct {
 	net.Conn
--- a/internal/sip/proxy/branch.go
+++ b/internal/sip/proxy/branch.go
@@ -160,7 +160,7 @@
 	}
 	switch a {
 	case AnswerRefused:
-		if x.bestResponse != nil && x.bestResponse.Code != 503 { // a server's own response is better than a 503
+		if x.mayHaveRun() { // the core refuses what servers drop repeats of, but the caller's next request is none
 			m.respondBest(now, x)
 			return
 		}
@@ -385,8 +385,8 @@
 		m.forwardResponse(now, x, b, r)
 		return
 	}
-	if !x.cancelled && (x.bestResponse == nil || r.Code < x.bestResponse.Code) {
-		x.bestResponse = b.restoreVias(r)
+	if !x.cancelled {
+		x.keepBest(b.restoreVias(r))
 	}
 	m.branchFailed(now, x, e)
 }
--- a/internal/sip/proxy/exchange.go
+++ b/internal/sip/proxy/exchange.go
@@ -31,9 +31,10 @@
 	cancelled       bool
 	final           int // status code of the final response; 0 if none was sent
 	bestResponse    *message.Message
-	lastFailure     End // end of the last failed branch, for the choice of the final response
-	failed          bool
-	pendingBranches int // number of branches without a final response
+	lastFailure     End  // end of the last failed branch, for the choice of the final response
+	failed          bool // a branch has failed
+	failedMayRun    bool // a server may have processed the request of a failed branch
+	pendingBranches int  // number of branches without a final response
 	branches        []*branch
 }
 
@@ -211,6 +212,7 @@
 // branchFailed handles the end of a branch whose response, if any, was not forwarded.
 func (m *Machine) branchFailed(now time.Duration, x *exchange, e End) {
 	x.failed, x.lastFailure = true, e
+	x.failedMayRun = x.failedMayRun || Outcomes[e].MayHaveRun
 	if x.final != 0 || x.pendingBranches > 0 {
 		return
 	}
@@ -222,15 +224,38 @@
 	}
 }
 
+// mayHaveRun reports whether a server may have processed the request. If so, the caller must not
+// get a 503, since it takes that as leave to send the request again.
+func (x *exchange) mayHaveRun() bool { return x.failedMayRun || x.pendingBranches > 0 }
+
+// keepBest keeps a failed branch's response if it is better than those before it. A 503 is the
+// worst, as it tells of its own server only.
+func (x *exchange) keepBest(r *message.Message) {
+	best := x.bestResponse
+	if best == nil || best.Code == 503 || r.Code != 503 && r.Code < best.Code {
+		x.bestResponse = r
+	}
+}
+
+// takeBest returns the response to forward when no more attempts will follow, or nil if none
+// fits all that the servers may have done.
+func (x *exchange) takeBest() *message.Message {
+	best := x.bestResponse
+	x.bestResponse = nil
+	if best != nil && best.Code == 503 && x.mayHaveRun() {
+		return nil
+	}
+	return best
+}
+
 // respondBest sends the final response when no more attempts will follow (RFC 3261 section
 // 16.7, step 6).
 func (m *Machine) respondBest(now time.Duration, x *exchange) {
 	silent := x.pendingBranches > 0 || x.failed && Outcomes[x.lastFailure].MayHaveRun && x.lastFailure >= NoResponse
+	best := x.takeBest()
 	switch {
-	case x.bestResponse != nil && !silent:
-		b := x.bestResponse
-		x.bestResponse = nil
-		m.respond(now, x, b)
+	case best != nil && !silent:
+		m.respond(now, x, best)
 	case silent || !x.failed:
 		m.respondTimeout(now, x)
 	case x.inDialog && x.lastFailure == Refused:
