SIP: a node that ends answers the requests within calls that it still took

Cause: Drain looked once whether nothing was unanswered and returned, while requests inside dialogs were taken until the process ended. Besides, final responses that were queued on TCP and TLS connections were lost when the front closed these.

Fix: Drain waits for requests outside dialogs alone; Shutdown, called when the other fronts have ended, closes the state machine in the event that finds no request unanswered, and writes the queues. It works since the look and the close are one event, so that no request is taken behind the look. What comes later is left to its retransmission over UDP and refused over TCP.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -256,8 +256,11 @@
 	if err := finishTransfers(background, op.Drain.TransferLimit(), clients, server, log); err != nil {
 		return err
 	}
-	<-sipDone
 	<-webDone
+	<-sipDone
+	if sipFront != nil { // last, as calls in progress go on while the node lives
+		sipFront.Shutdown(background)
+	}
 	log.Info("stopped")
 	return nil
 }
--- a/internal/sip/proxy/exchange.go
+++ b/internal/sip/proxy/exchange.go
@@ -55,6 +55,9 @@
 	return x
 }
 
+// unanswered reports whether a request of a peer's still waits for its final response.
+func (x *exchange) unanswered() bool { return x.final == 0 && !x.internal }
+
 // schedule sets the exchange's timer to the transaction's next timer or, before a final
 // response, to the deadline if that is earlier.
 func (m *Machine) schedule(x *exchange) {
--- a/internal/sip/proxy/proxy.go
+++ b/internal/sip/proxy/proxy.go
@@ -148,6 +148,7 @@
 	servers       map[uint64]Peer
 	hasServerList bool
 	draining      bool
+	closed        bool // see Close
 	lastID        uint64
 	timers        timers
 	counts        Counts
@@ -169,10 +170,35 @@
 // Drain makes the Machine refuse new requests outside dialogs.
 func (m *Machine) Drain() { m.draining = true }
 
+// Close makes the Machine take no request at all any more, neither outside nor inside dialogs. It still handles
+// responses, ACKs, CANCELs and retransmissions of the requests that it has taken.
+func (m *Machine) Close() { m.closed = true }
+
+// CloseIfIdle closes the Machine if every request that it has taken has its final response, and reports whether
+// it did. Nothing is taken between the look and the close.
+func (m *Machine) CloseIfIdle() bool {
+	for _, x := range m.exchanges {
+		if x.unanswered() {
+			return false
+		}
+	}
+	m.Close()
+	return true
+}
+
+// ExpireOutsideDialogs sends a final response to each request outside dialogs that has none, as at its deadline.
+func (m *Machine) ExpireOutsideDialogs(now time.Duration) {
+	m.expire(now, func(x *exchange) bool { return !x.inDialog })
+}
+
 // ExpireAll sends a final response to each request that has none, as at its deadline.
 func (m *Machine) ExpireAll(now time.Duration) {
+	m.expire(now, func(*exchange) bool { return true })
+}
+
+func (m *Machine) expire(now time.Duration, selected func(*exchange) bool) {
 	for _, id := range slices.Sorted(maps.Keys(m.exchanges)) {
-		if x := m.exchanges[id]; x != nil && x.final == 0 {
+		if x := m.exchanges[id]; x != nil && x.final == 0 && selected(x) {
 			m.respondTimeout(now, x)
 		}
 	}
@@ -267,12 +293,13 @@
 // View is a snapshot of a Machine's state for inspection.
 type View struct {
 	Counts
-	Servers    map[string]int // server transactions by state
-	Clients    map[string]int // client transactions by state
-	Unanswered int            // requests without a final response
-	Sources    int            // sources with open transactions outside dialogs
-	Timers     int
-	Draining   bool
+	Servers           map[string]int // server transactions by state
+	Clients           map[string]int // client transactions by state
+	Unanswered        int            // requests without a final response
+	UnansweredOutside int            // of those, the ones outside dialogs
+	Sources           int            // sources with open transactions outside dialogs
+	Timers            int
+	Draining          bool
 }
 
 // Inspect copies the state. Its cost is linear in the number of open transactions.
@@ -285,8 +312,11 @@
 	for _, x := range m.exchanges {
 		if !x.internal {
 			v.Servers[x.server.State().String()]++
-			if x.final == 0 {
-				v.Unanswered++
+		}
+		if x.unanswered() {
+			v.Unanswered++
+			if !x.inDialog {
+				v.UnansweredOutside++
 			}
 		}
 	}
--- a/internal/sip/proxy/receive.go
+++ b/internal/sip/proxy/receive.go
@@ -187,7 +187,7 @@
 	source := sourcePrefix(from.Addr.Addr())
 	cause := ""
 	switch {
-	case m.draining:
+	case m.draining, m.closed:
 		cause = "draining"
 	case len(m.exchanges) >= m.options.Limits.Transactions-m.options.Limits.Transactions/4:
 		cause = "transactions"
@@ -234,9 +234,17 @@
 // receiveInDialog handles a request inside a dialog, which its token routes.
 func (m *Machine) receiveInDialog(now time.Duration, from Peer, key, loop, user string, q *message.Message) {
 	to, _, code, cause := m.resolveToken(now, user, q)
-	if code == 0 && len(m.exchanges) >= m.options.Limits.Transactions {
+	switch {
+	case code != 0:
+	case m.closed:
+		code, cause = 503, "closed"
+	case len(m.exchanges) >= m.options.Limits.Transactions:
 		code, cause = 503, "transactions"
 	}
+	if cause == "closed" && !from.Transport.Reliable() {
+		m.countRefusal(cause)
+		return // as if lost: the retransmission reaches the node's next process
+	}
 	if code != 0 {
 		m.countRefusal(cause)
 		m.respondStateless(from, q, code, "")
--- a/internal/sip/streams.go
+++ b/internal/sip/streams.go
@@ -5,8 +5,10 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -343,6 +345,29 @@
 	}
 }
 
+// flush writes what is queued on each connection and closes it, for at most writeTimeout.
+func (t *streams) flush() {
+	t.mu.Lock()
+	open := slices.Collect(maps.Values(t.byID))
+	t.mu.Unlock()
+	limit := time.After(writeTimeout)
+	for _, s := range open {
+		select {
+		case s.out <- outgoing{}: // the writer closes the connection behind all that is queued before
+		case <-s.ended:
+		case <-limit:
+			return
+		}
+	}
+	for _, s := range open {
+		select {
+		case <-s.ended:
+		case <-limit:
+			return
+		}
+	}
+}
+
 // close closes all connections and waits for their goroutines.
 func (t *streams) close() {
 	t.mu.Lock()
