otterlab hostile: a node's memory and its usual clients while others behave badly

Change: the command starts one process of the node under limits of memory, descriptors and cores, has usual clients ask it, plays one load after the other at the platform's front and at a [[web]], and prints the peak of the resident memory and how the usual clients were served; exit code 1 if a bound broke.

--- a/cmd/otterlab/main.go
+++ b/cmd/otterlab/main.go
@@ -46,7 +46,7 @@
 
 func rootCommand() *cobra.Command {
 	root := &cobra.Command{Use: "otterlab", Short: "Run a fleet on loopback, with faults, experiments and measurements", Version: buildinfo.Version()}
-	root.AddCommand(demoCommand(), upgradeCommand(), upCommand(), boxCommand(), statusCommand(), guardCommand(), faultsCommand(), agentCommand(), ownersCommand(), desiredCommand(), comebackCommand(), experimentCommand(), loadCommand())
+	root.AddCommand(demoCommand(), upgradeCommand(), upCommand(), boxCommand(), statusCommand(), guardCommand(), faultsCommand(), agentCommand(), ownersCommand(), desiredCommand(), comebackCommand(), experimentCommand(), loadCommand(), hostileCommand())
 	return root
 }
 
