A connection that never waits leaves the others their turn

Cause: goroutines that wake each other share one time slice and go before all that wait, and the network is looked at only when nothing is left to run.

Fix: internal/connpace paces the answers that ask no server and the reads of HTTP/2 and SIP whose input never ends. It works since a goroutine that sleeps gives up its turn, so that the network is looked at again.

--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -3,22 +3,26 @@
 import (
 	"crypto/tls"
 	"net"
+
+	"otterstep/internal/connpace"
 )
 
 // Conn is a client's connection whose bytes a Checker observes.
 type Conn struct {
-	net.Conn
+	*connpace.Conn
 	Checker Checker
 	TLS     *tls.ConnectionState // of the TLS connection that Conn reads from; nil for plain text
 }
 
 // NewConn returns c with a Checker of its own.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: &connpace.Conn{Conn: c}} }
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.Checker.Observe(b[:n])
+	if c.Checker.Observe(b[:n]); c.Checker.HTTP2() {
+		c.Enable()
+	}
 	return n, err
 }
 
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -21,6 +21,7 @@
 type Checker struct {
 	ambiguous atomic.Bool
 	stop      atomic.Bool // set by Stop
+	http2     bool        // the connection began with the preface of HTTP/2
 
 	state     state
 	line      []byte // the current line so far, at most maxLine bytes
@@ -50,6 +51,9 @@
 // Ambiguous reports that the client has sent an ambiguous request.
 func (f *Checker) Ambiguous() bool { return f.ambiguous.Load() }
 
+// HTTP2 reports that the connection carries HTTP/2. It must not be called concurrently with Observe.
+func (f *Checker) HTTP2() bool { return f.http2 }
+
 // Stop ends the parsing, as the connection carries no more requests of HTTP/1.
 func (f *Checker) Stop() { f.stop.Store(true) }
 
@@ -131,7 +135,7 @@
 		f.http10 = bytes.HasSuffix(line, []byte("HTTP/1.0"))
 		f.inFields = true
 		if bytes.HasSuffix(line, []byte("HTTP/2.0")) { // the preface of HTTP/2, which frames its requests otherwise
-			f.state = stopped
+			f.state, f.http2 = stopped, true
 		}
 		return
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"otterstep/internal/connpace"
 	"otterstep/internal/framing"
 	"otterstep/internal/lifecycle"
 	"otterstep/internal/operator"
@@ -27,6 +28,8 @@
 	// send a request do so immediately: their first head was measured to arrive within 2 ms.
 	evictSilentAfter = 50 * time.Millisecond
 	evictInterval    = 25 * time.Millisecond
+	// Health checkers ask ten times a second; see connpace.Answers.
+	upInterval = 50 * time.Millisecond
 )
 
 // clients keeps the number of clients' connections within the node's file descriptors. A
@@ -56,11 +59,12 @@
 	group       *clients
 	list        *list.List // the list that holds it, silent or idle; nil while a request is open
 	element     *list.Element
-	since       time.Time       // when it was added to the list
-	evicted     bool            // evicted, unless data arrives first
-	active      bool            // a request is open
-	headStarted bool            // a request's head has arrived in part
-	framing     framing.Checker // observes on the reading goroutine
+	since       time.Time         // when it was added to the list
+	evicted     bool              // evicted, unless data arrives first
+	active      bool              // a request is open
+	headStarted bool              // a request's head has arrived in part
+	framing     framing.Checker   // observes on the reading goroutine
+	answers     *connpace.Answers // those of /up
 
 	socket    syscall.RawConn    // nil if the connection has none
 	readAhead *readAheadConn     // the same as Conn
@@ -130,7 +134,7 @@
 		return nil, err
 	}
 	ahead := &readAheadConn{Conn: writelimit.NewConn(conn, l.group.writes)}
-	c := &client{Conn: ahead, readAhead: ahead, group: l.group}
+	c := &client{Conn: ahead, readAhead: ahead, group: l.group, answers: connpace.NewAnswers(upInterval)}
 	if s, ok := conn.(syscall.Conn); ok {
 		c.socket, _ = s.SyscallConn() // nil on an error, which disables the disconnect check
 	}
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -80,6 +80,9 @@
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	full := f.clients.full()
 	if r.URL.Path == "/up" {
+		if c := clientOf(r.Context()); c != nil {
+			c.answers.Wait(r.Context())
+		}
 		f.announceClose(w)
 		if !f.life.AcceptsConnections(f.failUpAtOnce) {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"otterstep/internal/connpace"
 	"otterstep/internal/core"
 	"otterstep/internal/serverlist"
 	"otterstep/internal/sip/message"
@@ -28,6 +29,13 @@
 // dropped, as their senders retransmit them; streams block.
 const maxQueuedEvents = 4096
 
+// While more events wait, the Machine's goroutine sleeps after each eventsPerTurn of them, so that others, and the
+// network, have their turn (see package connpace).
+const (
+	eventsPerTurn = 32
+	turnPause     = 50 * time.Microsecond
+)
+
 // cancelWait is how long a node that shuts down waits for servers to respond to its last CANCELs.
 const cancelWait = 500 * time.Millisecond
 
@@ -195,7 +203,10 @@
 func (f *Front) run(ctx context.Context) {
 	wake := time.NewTimer(0)
 	defer wake.Stop()
-	for {
+	for turn := 1; ; turn++ {
+		if turn%eventsPerTurn == 0 && len(f.events) > 0 {
+			time.Sleep(turnPause)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -497,11 +508,14 @@
 // readDatagrams queues datagrams for the Machine until the socket is closed.
 func (f *Front) readDatagrams() {
 	buf := make([]byte, 64<<10)
+	var pace connpace.Reads
 	for {
+		began := time.Now()
 		n, from, refused, err := f.udp.receive(buf)
 		if err != nil {
 			return
 		}
+		time.Sleep(pace.Pause(began, time.Now()))
 		for _, id := range refused {
 			f.post(func() { f.machine.DeliveryFailed(f.now(), id, false) })
 		}
--- a/internal/sip/streams.go
+++ b/internal/sip/streams.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"otterstep/internal/connpace"
 	"otterstep/internal/core"
 	"otterstep/internal/sip/message"
 	"otterstep/internal/sip/proxy"
@@ -141,11 +142,14 @@
 	limits := t.front.config.Limits
 	in := message.NewReader(s, limits.Message.Bytes)
 	from := proxy.Peer{Transport: s.transport, Addr: s.remote, Conn: s.id}
+	var pace connpace.Reads
 	for empty := 0; ; {
 		if err := s.SetReadDeadline(time.Now().Add(limits.Idle.Duration)); err != nil {
 			return
 		}
+		began := time.Now()
 		m, err := in.Next()
+		time.Sleep(pace.Pause(began, time.Now()))
 		var bad *message.Error
 		switch {
 		case errors.As(err, &bad):
--- a/internal/standin/hostile/hostile.go
+++ b/internal/standin/hostile/hostile.go
@@ -3,6 +3,7 @@
 package hostile
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -80,7 +81,11 @@
 	}
 	at := target{kind, n.addr[kind]}
 	usualCtx, stopUsual := context.WithCancel(ctx)
-	usual := startUsualClients(usualCtx, at)
+	asked := at
+	if kind == SIP {
+		asked.addr = n.addr[Platform]
+	}
+	usual := startUsualClients(usualCtx, asked)
 	pause(ctx, settle)
 	loadCtx, stopLoad := context.WithTimeout(ctx, o.Time)
 	load.run(loadCtx, at)
@@ -156,19 +161,21 @@
 
 func startNode(o Options, s *servers) (*nodeProcess, error) {
 	n := &nodeProcess{addr: map[FrontKind]string{}, log: filepath.Join(o.Dir, "node.log"), ended: make(chan struct{})}
-	for _, kind := range []FrontKind{Platform, Web} {
+	for _, kind := range []FrontKind{Platform, Web, SIP} {
 		addr, err := freeAddress()
 		if err != nil {
 			return nil, err
 		}
 		n.addr[kind] = addr
 	}
+	key := filepath.Join(o.Dir, "token.key")
 	config, operator := filepath.Join(o.Dir, "node.json"), filepath.Join(o.Dir, "operator.toml")
 	text, err := json.Marshal(nodeConfig(o, n.addr[Platform], s.discovery.Addr()))
 	if err != nil {
 		return nil, fmt.Errorf("node's configuration: %w", err)
 	}
-	if err := errors.Join(os.WriteFile(config, text, 0o600), os.WriteFile(operator, []byte(operatorFile(n.addr[Web], s.addrs)), 0o600)); err != nil {
+	if err := errors.Join(os.WriteFile(config, text, 0o600), os.WriteFile(operator, []byte(operatorFile(n.addr, s.addrs, key)), 0o600),
+		os.WriteFile(key, bytes.Repeat([]byte("k"), tokenKeyBytes), 0o600)); err != nil {
 		return nil, fmt.Errorf("node's configuration: %w", err)
 	}
 	log, err := os.Create(n.log)
@@ -242,10 +249,14 @@
 	}
 }
 
-// operatorFile returns an operator's file with a front for ordinary HTTP.
-func operatorFile(listen string, servers []string) string {
+// tokenKeyBytes is the size of the key for SIP's tokens.
+const tokenKeyBytes = 32
+
+// operatorFile returns an operator's file with a front for ordinary HTTP and one for SIP, whose server never answers.
+func operatorFile(listen map[FrontKind]string, servers []string, key string) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[[web]]\nname = \"hostile\"\nlisten = %q\n", listen)
+	fmt.Fprintf(&b, "[sip]\nudp = %q\ntcp = %q\ntoken_key = %q\n[[sip.server]]\nname = \"pbx1\"\naddress = \"127.0.0.1:9\"\n", listen[SIP], listen[SIP], key)
+	fmt.Fprintf(&b, "[[web]]\nname = \"hostile\"\nlisten = %q\n", listen[Web])
 	for n, addr := range servers {
 		fmt.Fprintf(&b, "[[web.server]]\nname = \"s%d\"\naddress = %q\n", n+1, addr)
 	}
--- a/internal/standin/hostile/loads.go
+++ b/internal/standin/hostile/loads.go
@@ -14,9 +14,7 @@
 type Load struct {
 	Name   string
 	Fronts []FrontKind // at which it makes sense
-	// Flood says that the load is one of speed: its clients send without waiting.
-	Flood bool
-	run   func(ctx context.Context, f target)
+	run    func(ctx context.Context, f target)
 }
 
 // FrontKind is a front of the node.
@@ -26,6 +24,7 @@
 const (
 	Platform FrontKind = "platform"
 	Web      FrontKind = "web"
+	SIP      FrontKind = "sip" // its usual clients are the platform's
 )
 
 // target is a front under load.
@@ -43,8 +42,8 @@
 // Loads returns all loads.
 func Loads() []Load {
 	both := []FrontKind{Platform, Web}
-	return []Load{
-		{Name: "usual clients alone", Fronts: both, run: func(ctx context.Context, _ target) { <-ctx.Done() }},
+	slow := []Load{
+		{Name: "usual clients alone", Fronts: []FrontKind{Platform, Web, SIP}, run: func(ctx context.Context, _ target) { <-ctx.Done() }},
 		{Name: "heads of different short fields, not ended", Fronts: both, run: each(manyClients, func(f target) string { return f.openHead(shortFields(true)) })},
 		{Name: "heads of one field's name, not ended", Fronts: both, run: each(manyClients, func(f target) string { return f.openHead(shortFields(false)) })},
 		{Name: "whole heads of different short fields, no body", Fronts: both, run: each(manyClients, func(f target) string {
@@ -61,19 +60,8 @@
 		})},
 		{Name: "answers of 8 MB that are not read", Fronts: both, run: unreadAnswers},
 		{Name: "connections without a byte", Fronts: both, run: each(manyClients, func(target) string { return "" })},
-		{Name: "GET /up without waiting, one connection", Fronts: []FrontKind{Platform}, Flood: true, run: pipelined(1, func(target) string {
-			return "GET /up HTTP/1.1\r\nHost: a\r\n\r\n"
-		})},
-		{Name: "GET /up without waiting, six connections", Fronts: []FrontKind{Platform}, Flood: true, run: pipelined(6, func(target) string {
-			return "GET /up HTTP/1.1\r\nHost: a\r\n\r\n"
-		})},
-		{Name: "requests of unknown classes under new ids", Fronts: []FrontKind{Platform}, Flood: true, run: pipelined(1, func(target) string {
-			return fmt.Sprintf("GET /none/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: flood%d\r\nX-Service-Class: none\r\nX-Time-Left: 1\r\n\r\n", nextID())
-		})},
-		{Name: "sound requests without waiting under new ids", Fronts: both, Flood: true, run: pipelined(1, func(f target) string {
-			return f.head("GET", "", 0) + "\r\n"
-		})},
 	}
+	return append(slow, floods()...)
 }
 
 // shortFields returns about headBytes bytes of short fields.
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -110,7 +110,7 @@
 	s := &http.Server{
 		Handler: f, ReadHeaderTimeout: l.Read.Duration, IdleTimeout: l.Idle.Duration, MaxHeaderBytes: l.Header.Bytes,
 		DisableGeneralOptionsHandler: true, // servers answer OPTIONS *
-		ConnContext:                  withFraming, ConnState: stopFraming,
+		ConnContext:                  withConn, ConnState: stopFraming,
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug), Protocols: new(http.Protocols),
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: l.Streams, MaxDecoderHeaderTableSize: 4096, MaxEncoderHeaderTableSize: 4096,
@@ -242,6 +242,7 @@
 	}
 	if p != nil {
 		f.rejected.Add(1)
+		paceOwnAnswer(r)
 		f.writeProblem(w, p, id)
 		return
 	}
--- a/internal/web/listener.go
+++ b/internal/web/listener.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"otterstep/internal/connpace"
 	"otterstep/internal/framing"
 )
 
@@ -47,13 +48,16 @@
 func (l *tlsListener) handshake(c net.Conn) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.timeout)
 	defer cancel()
-	secure := tls.Server(c, l.config)
+	paced := &connpace.Conn{Conn: c}
+	secure := tls.Server(paced, l.config)
 	if err := secure.HandshakeContext(ctx); err != nil {
 		c.Close()
 		return
 	}
 	var conn net.Conn = secure
-	if state := secure.ConnectionState(); state.NegotiatedProtocol != "h2" {
+	if state := secure.ConnectionState(); state.NegotiatedProtocol == "h2" {
+		paced.Enable()
+	} else {
 		framed := framing.NewConn(secure)
 		framed.TLS = &state
 		conn = framed
@@ -84,10 +88,18 @@
 	return err
 }
 
-type framingKey struct{}
+type (
+	framingKey struct{}
+	answersKey struct{}
+)
+
+// ownAnswerInterval is the interval of the node's own answers on one connection; see connpace.Answers.
+const ownAnswerInterval = time.Millisecond
 
-// withFraming is used as http.Server.ConnContext: requests find their connection's framing in their context.
-func withFraming(ctx context.Context, c net.Conn) context.Context {
+// withConn is used as http.Server.ConnContext: requests find their connection's framing and the pace of the node's own
+// answers in their context.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	ctx = context.WithValue(ctx, answersKey{}, connpace.NewAnswers(ownAnswerInterval))
 	if framed, ok := c.(*framing.Conn); ok {
 		return context.WithValue(ctx, framingKey{}, framed)
 	}
@@ -103,6 +115,13 @@
 	return framed
 }
 
+// paceOwnAnswer waits until an answer for which no server is asked may be given.
+func paceOwnAnswer(r *http.Request) {
+	if answers, ok := r.Context().Value(answersKey{}).(*connpace.Answers); ok {
+		answers.Wait(r.Context())
+	}
+}
+
 // stopFraming is used as http.Server.ConnState: a connection that was taken over carries no more requests.
 func stopFraming(c net.Conn, s http.ConnState) {
 	if framed, ok := c.(*framing.Conn); ok && s == http.StateHijacked {
