--- a/cmd/otterstep/serve.go
+++ b/cmd/otterstep/serve.go
@@ -73,7 +73,7 @@
 func serve(ctx context.Context, all []web.Config, log *slog.Logger) error {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	fronts, err := web.Start(running, all, rand.Uint64(), core.NewClock(), log)
+	fronts, err := web.Start(running, all, web.Memory{}, rand.Uint64(), core.NewClock(), log)
 	if err != nil {
 		return err
 	}
--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -3,33 +3,59 @@
 import (
 	"crypto/tls"
 	"net"
+	"time"
 
 	"otterstep/internal/connpace"
 )
 
-// Conn is a client's connection whose bytes a Checker observes.
+// Conn is a client's connection whose requests are read by a Reader.
 type Conn struct {
 	*connpace.Conn
-	Checker Checker
-	TLS     *tls.ConnectionState // of the TLS connection that Conn reads from; nil for plain text
+	Requests *Reader
+	TLS      *tls.ConnectionState // of the TLS connection that Conn reads from; nil for plain text
+
+	isHTTP2 bool // its memory is reserved
 }
 
-// NewConn returns c with a Checker of its own.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: &connpace.Conn{Conn: c}} }
+// http2Bytes is what net/http holds for a connection of HTTP/2 beside what one of HTTP/1 takes.
+const http2Bytes = 48 << 10
+
+// NewConn returns c with a Reader of its own.
+func NewConn(c net.Conn, limits Limits) *Conn {
+	paced := &connpace.Conn{Conn: c}
+	requests := NewReader(paced, limits)
+	if limits.HeadTime > 0 {
+		requests.HeadStarted = func() { _ = c.SetReadDeadline(time.Now().Add(limits.HeadTime)) } // a broken connection shows in the read
+	}
+	return &Conn{Conn: paced, Requests: requests}
+}
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if c.Checker.Observe(b[:n]); c.Checker.HTTP2() {
+	n, err := c.Requests.Read(b)
+	if !c.isHTTP2 && c.Requests.HTTP2() {
+		c.isHTTP2 = true
 		c.Enable()
+		if !c.Requests.requests.add(http2Bytes, 1) {
+			return 0, ErrNoMemory
+		}
 	}
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.Requests.Close()
+	return c.Conn.Close()
+}
+
 // Listener wraps the connections of a listener in Conn.
-func Listener(l net.Listener) net.Listener { return listener{l} }
+func Listener(l net.Listener, limits Limits) net.Listener { return listener{l, limits} }
 
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	limits Limits
+}
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
@@ -37,5 +63,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewConn(c), nil
+	return NewConn(c, l.limits), nil
 }
--- a/internal/framing/conn_test.go
+++ b/internal/framing/conn_test.go
@@ -10,7 +10,7 @@
 // from the preface of HTTP/2 on, and not with HTTP/1.
 func TestReadsOfHTTP2ArePaced(t *testing.T) {
 	for text, want := range map[string]bool{
-		"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n":                  true,
+		"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n":                   true,
 		"GET /PRI HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1": false,
 	} {
 		near, far := net.Pipe()
@@ -18,7 +18,7 @@
 			_, _ = io.WriteString(far, text) // an error shows as a short read
 			far.Close()
 		}()
-		c := NewConn(near)
+		c := NewConn(near, Limits{HeadBytes: 1 << 10, Fields: 100})
 		if _, err := io.ReadAll(c); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -29,7 +29,17 @@
 	http10    bool   // the request is HTTP/1.0
 	chunked   bool
 	hasLength bool
+	badLength bool  // net/http rejects the request at the end of its head
 	remaining int64 // remaining bytes of the body or chunk
+
+	head      HeadSize // of the head that has begun
+	completed HeadSize // the largest sizes of heads that have ended since takeCompleted
+}
+
+// HeadSize is the size of a request's head.
+type HeadSize struct {
+	Bytes  int
+	Fields int // lines behind the request line
 }
 
 // state is the part of a request that the next byte belongs to.
@@ -57,12 +67,17 @@
 // Stop ends the parsing, as the connection carries no more requests of HTTP/1.
 func (f *Checker) Stop() { f.stop.Store(true) }
 
-// Observe processes bytes received from the client.
-func (f *Checker) Observe(b []byte) {
+// Observe processes bytes received from the client. It returns how many of them come before the head that they leave
+// incomplete; all of them, if they do not end within a head.
+func (f *Checker) Observe(b []byte) (whole int) {
 	if f.stop.Load() {
-		return
+		return len(b)
 	}
+	all := len(b)
 	for len(b) > 0 && f.state != stopped {
+		if f.state != inHead || f.head.Bytes == 0 {
+			whole = all - len(b)
+		}
 		if f.state == inBody || f.state == inChunk {
 			n := min(f.remaining, int64(len(b)))
 			b = b[n:]
@@ -86,19 +101,37 @@
 		} else {
 			f.line = append(f.line, piece[:min(len(piece), maxLine-len(f.line))]...)
 		}
+		if f.state == inHead {
+			f.head.Bytes += min(len(piece)+1, len(b))
+		}
 		if end < 0 {
-			return
+			b = nil
+			break
 		}
 		b = b[end+1:]
 		f.endLine(bytes.TrimSuffix(f.line, []byte("\r")))
 		f.line = f.line[:0]
 	}
+	if f.state != inHead || f.head.Bytes == 0 {
+		whole = all
+	}
+	return whole
 }
 
 func (f *Checker) reset() {
-	f.state, f.inFields, f.http10, f.chunked, f.hasLength, f.remaining = inHead, false, false, false, false, 0
+	f.state, f.inFields, f.http10, f.chunked, f.hasLength, f.badLength, f.remaining = inHead, false, false, false, false, false, 0
 }
 
+// takeCompleted returns the largest sizes of the heads that have ended since the last call.
+func (f *Checker) takeCompleted() HeadSize {
+	size := f.completed
+	f.completed = HeadSize{}
+	return size
+}
+
+// betweenRequests reports that no request has begun whose end has not been seen.
+func (f *Checker) betweenRequests() bool { return f.state == inHead && f.head.Bytes == 0 }
+
 // endLine processes a complete line.
 func (f *Checker) endLine(line []byte) {
 	switch f.state {
@@ -134,11 +167,12 @@
 	case !f.inFields:
 		f.http10 = bytes.HasSuffix(line, []byte("HTTP/1.0"))
 		f.inFields = true
-		if bytes.HasSuffix(line, []byte("HTTP/2.0")) { // the preface of HTTP/2, which frames its requests otherwise
+		if bytes.Equal(line, []byte("PRI * HTTP/2.0")) { // the preface of HTTP/2, which frames its requests otherwise
 			f.state, f.http2 = stopped, true
 		}
 		return
 	}
+	f.head.Fields++
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimSpace(value)
 	switch {
@@ -147,15 +181,18 @@
 	case bytes.EqualFold(name, []byte("Content-Length")):
 		f.hasLength = true
 		n, err := strconv.ParseInt(string(value), 10, 63)
-		if err != nil || n < 0 { // net/http rejects this request
-			f.state = stopped
-		}
+		f.badLength = f.badLength || err != nil || n < 0
 		f.remaining = n
 	}
 }
 
 func (f *Checker) endHead() {
+	f.completed.Bytes = max(f.completed.Bytes, f.head.Bytes)
+	f.completed.Fields = max(f.completed.Fields, f.head.Fields)
+	f.head = HeadSize{}
 	switch {
+	case f.badLength:
+		f.state = stopped
 	case f.chunked && (f.hasLength || f.http10):
 		f.state = stopped
 		f.ambiguous.Store(true)
--- a/internal/node/bodies.go
+++ b/internal/node/bodies.go
@@ -5,11 +5,12 @@
 	"io"
 	"net/http"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"otterstep/internal/bodyrate"
+	"otterstep/internal/copybuffer"
+	"otterstep/internal/membudget"
 )
 
 // Limits for request bodies. A body that does not fit into the memory budget is streamed to
@@ -23,26 +24,8 @@
 	minBodyRate    = 32 << 10        // minimum rate of a body in bytes per second: half of what the platform's clients send
 )
 
-// byteBudget limits the total number of bytes reserved.
-type byteBudget struct {
-	limit    atomic.Int64
-	reserved atomic.Int64
-}
-
-func (b *byteBudget) reserve(n int64) bool { return b.reserveWithin(n, b.limit.Load()) }
-
-// reserveLarge reserves bytes from the first three quarters only; the rest is for smaller bodies.
-func (b *byteBudget) reserveLarge(n int64) bool { return b.reserveWithin(n, b.limit.Load()/4*3) }
-
-func (b *byteBudget) reserveWithin(n, most int64) bool {
-	if b.reserved.Add(n) > most {
-		b.reserved.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (b *byteBudget) release(n int64) { b.reserved.Add(-n) }
+// reserveLarge reserves memory from the first three quarters of an account only; the rest is for smaller bodies.
+func reserveLarge(account *membudget.Account, n int64) bool { return account.ReserveWithin(n, 0.75) }
 
 // body is a request body. It consists of a buffered part, which all attempts can send, and
 // possibly a rest that is still arriving, which only one attempt can read. The owner calls
@@ -52,8 +35,8 @@
 	length   int64            // total length; -1 if not known in advance
 	rest     *bodyrate.Reader // nil if the whole body is buffered
 
-	budget      *byteBudget
-	reserved    int64          // bytes reserved from budget
+	memory      *clientMemory
+	reserved    int64          // bytes reserved for buffered
 	restClaim   bodyrate.Claim // of the attempt that reads rest
 	restTooSlow atomic.Bool    // a read of rest has reached the limit of its time
 }
@@ -72,7 +55,7 @@
 		b.rest.Stop()
 		b.restClaim.Close()
 	}
-	b.budget.release(b.reserved)
+	b.memory.bodies.Release(b.reserved)
 }
 
 // discard reads the rest of the body for up to discardTimeout after an early answer, because many
@@ -82,10 +65,10 @@
 	if http.NewResponseController(w).Flush() != nil {
 		return
 	}
-	buf := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buf)
+	buf := copybuffer.Get(b.memory.buffers)
+	defer buf.Release()
 	for until := time.Now().Add(discardTimeout); time.Now().Before(until); {
-		if _, err := b.rest.Read(*buf); err != nil {
+		if _, err := b.rest.Read(buf.Bytes); err != nil {
 			return
 		}
 	}
@@ -101,12 +84,12 @@
 	if b.rest == nil {
 		return nil
 	}
-	buf := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buf)
+	buf := copybuffer.Get(b.memory.buffers)
+	defer buf.Release()
 	for sent := b.bufferedLength(); ; {
-		n, err := b.rest.Read(*buf)
+		n, err := b.rest.Read(buf.Bytes)
 		if n > 0 {
-			if _, werr := w.Write((*buf)[:n]); werr != nil {
+			if _, werr := w.Write(buf.Bytes[:n]); werr != nil {
 				return werr
 			}
 			sent += int64(n)
@@ -130,22 +113,19 @@
 
 var errIncompleteBody = &clientError{http.StatusRequestTimeout, "body: it did not come whole, or came too slowly"}
 
-// copyBuffers holds buffers for streaming bodies.
-var copyBuffers = sync.Pool{New: func() any { b := make([]byte, bodyChunk); return &b }}
-
 // readBody buffers a body as far as the memory budget permits. full reports that there was no
 // memory for a body of a size that is always buffered; nothing of it was read then.
 func (f *front) readBody(w http.ResponseWriter, r *http.Request) (b *body, full bool, err error) {
 	in := bodyrate.NewReader(r.Body, http.NewResponseController(w), bodyrate.Limits{BytesPerSecond: minBodyRate, Grace: bodyGrace})
-	b = &body{length: r.ContentLength, budget: &f.bodies}
+	b = &body{length: r.ContentLength, memory: f.memory}
 	defer func(b *body) {
 		if err != nil {
-			b.budget.release(b.reserved)
+			b.memory.bodies.Release(b.reserved)
 		}
 	}(b)
 	if n := r.ContentLength; n >= 0 && n <= largeBody {
 		if n > smallBody {
-			if !f.bodies.reserve(n) {
+			if !f.memory.bodies.Reserve(n) {
 				return nil, true, nil
 			}
 			b.reserved = n
@@ -157,7 +137,7 @@
 		b.buffered = [][]byte{all}
 		return b, false, nil
 	}
-	for size := int64(smallBody); size == smallBody || f.bodies.reserveLarge(size); size = bodyChunk {
+	for size := int64(smallBody); size == smallBody || reserveLarge(f.memory.bodies, size); size = bodyChunk {
 		if size > smallBody {
 			b.reserved += size
 		}
@@ -173,7 +153,7 @@
 		case kept == b.length: // complete; reading on would wait for io.EOF while the client awaits its answer
 			return b, false, nil
 		}
-		if kept >= f.bodies.limit.Load()/4 {
+		if kept >= f.memory.bodies.Limit()/4 {
 			break
 		}
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -40,8 +40,10 @@
 // many requests are open, further requests are refused immediately. More than most+spare
 // connections are never accepted.
 type clients struct {
-	limit, spare int               // under mu
-	writes       writelimit.Limits // of writes to clients
+	limit, spare   int               // under mu
+	maxConnections int               // that the memory has room for
+	writes         writelimit.Limits // of writes to clients
+	requests       framing.Limits
 
 	mu      sync.Mutex
 	conns   map[*client]struct{}
@@ -63,7 +65,7 @@
 	evicted     bool              // evicted, unless data arrives first
 	active      bool              // a request is open
 	headStarted bool              // a request's head has arrived in part
-	framing     framing.Checker   // observes on the reading goroutine
+	requests    *framing.Reader   // reads the connection for net/http
 	answers     *connpace.Answers // those of /up
 
 	socket    syscall.RawConn    // nil if the connection has none
@@ -86,12 +88,20 @@
 	return c
 }
 
-func newClients(descriptors int) *clients {
-	spare := descriptors / 8
-	return &clients{
-		limit: descriptors - spare, spare: spare, conns: map[*client]struct{}{},
-		writes: writeLimits(operator.DefaultMinReadRate),
+func newClients(descriptors int, memory *clientMemory) *clients {
+	g := &clients{
+		conns: map[*client]struct{}{}, maxConnections: memory.connectionsPerFront(),
+		writes: writeLimits(operator.DefaultMinReadRate), requests: memory.requestLimits(),
 	}
+	g.divide(descriptors)
+	return g
+}
+
+// divide sets how many connections are accepted with a number of descriptors; mu must be held.
+func (g *clients) divide(descriptors int) {
+	most := min(descriptors, g.maxConnections)
+	g.spare = most / 8
+	g.limit = most - g.spare
 }
 
 // writeLimits returns the limits of writes to clients that read at least bytesPerSecond.
@@ -113,8 +123,7 @@
 func (g *clients) setDescriptors(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.spare = n / 8
-	g.limit = n - g.spare
+	g.divide(n)
 	g.evict()
 }
 
@@ -134,7 +143,8 @@
 		return nil, err
 	}
 	ahead := &readAheadConn{Conn: writelimit.NewConn(conn, l.group.writes)}
-	c := &client{Conn: ahead, readAhead: ahead, group: l.group, answers: connpace.NewAnswers(upInterval)}
+	c := l.group.newClient(ahead)
+	c.readAhead = ahead
 	if s, ok := conn.(syscall.Conn); ok {
 		c.socket, _ = s.SyscallConn() // nil on an error, which disables the disconnect check
 	}
@@ -142,12 +152,47 @@
 	return c, nil
 }
 
+// newClient returns a client of the group.
+func (g *clients) newClient(conn net.Conn) *client {
+	c := &client{Conn: conn, group: g, answers: connpace.NewAnswers(upInterval)}
+	c.requests = framing.NewReader(readerFunc(c.readRaw), g.requests)
+	c.requests.HeadStarted = c.limitHead
+	return c
+}
+
 var pastTime = time.Unix(1, 0)
 
-// Read tries once more when the wait for a request has timed out, through eviction or
+// readerFunc is a function as an io.Reader.
+type readerFunc func([]byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
+
+// Read returns whole heads of requests, and bodies as they come.
+func (c *client) Read(b []byte) (int, error) {
+	n, err := c.requests.Read(b)
+	if n == 1 && len(b) == 1 && c.hasOpenRequest() { // net/http's disconnect detection reads no further than this byte
+		c.readAhead.startReadAhead(c.cancel)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *client) Close() error {
+	c.requests.Close()
+	return c.Conn.Close()
+}
+
+// limitHead limits the time of a head that has begun behind another request. net/http limits that of a connection's
+// first head, and of others only once it has seen a part of them.
+func (c *client) limitHead() {
+	_ = c.SetReadDeadline(time.Now().Add(headTimeout)) // an error means that the connection is broken, which the read shows
+}
+
+// readRaw reads from the connection. It tries once more when the wait for a request has timed out, through eviction or
 // net/http's idle timeout: on a node short of CPU, a request may have arrived between the
 // timeout and this point.
-func (c *client) Read(b []byte) (int, error) {
+func (c *client) readRaw(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.awaitingRequest() {
 		c.Conn.SetReadDeadline(time.Now().Add(time.Millisecond))
@@ -155,10 +200,6 @@
 	}
 	if n > 0 {
 		c.dataArrived()
-		c.framing.Observe(b[:n])
-	}
-	if n == 1 && len(b) == 1 && c.hasOpenRequest() { // net/http's disconnect detection reads no further than this byte
-		c.readAhead.startReadAhead(c.cancel)
 	}
 	return n, err
 }
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"otterstep/internal/lifecycle"
+	"otterstep/internal/membudget"
 	"otterstep/internal/wire"
 )
 
@@ -185,11 +186,11 @@
 // Guards against requests lost to eviction: a recently used connection is not evicted, and a
 // request that has arrived by the time of the eviction is read rather than cut off.
 func TestDataUndoesEviction(t *testing.T) {
-	g := newClients(1)
+	g := newClients(1, newClientMemory(0, 1, 1))
 	add := func() (*client, net.Conn) {
 		ours, theirs := net.Pipe()
 		t.Cleanup(func() { ours.Close(); theirs.Close() })
-		c := &client{Conn: ours, group: g}
+		c := g.newClient(ours)
 		g.connState(c, http.StateNew)
 		g.connState(c, http.StateIdle)
 		return c, theirs
@@ -210,7 +211,7 @@
 	go io.WriteString(peer, "GET")
 	waitFor(t, "data that undoes the eviction", func() bool {
 		b := make([]byte, 3)
-		n, _ := first.Read(b)
+		n, _ := first.readRaw(b)
 		return string(b[:n]) == "GET"
 	})
 	if first.evicted || g.count() != 2 {
@@ -231,21 +232,21 @@
 // Guards against requests lost at the end of a drain: idle connections are evicted, but one on
 // which a request has arrived by then stays open to answer it.
 func TestDataUndoesEvictionAtDrain(t *testing.T) {
-	g := newClients(8)
+	g := newClients(8, newClientMemory(0, 8, 1))
 	var conns [2]*client
 	var peers [2]net.Conn
 	for i := range conns {
 		ours, theirs := net.Pipe()
 		defer ours.Close()
 		defer theirs.Close()
-		conns[i], peers[i] = &client{Conn: ours, group: g}, theirs
+		conns[i], peers[i] = g.newClient(ours), theirs
 		g.connState(conns[i], http.StateNew)
 		g.connState(conns[i], http.StateIdle)
 	}
 	g.evictAllIdle()
 	go io.WriteString(peers[0], "GET")
 	waitFor(t, "data that undoes the eviction", func() bool {
-		n, _ := conns[0].Read(make([]byte, 3))
+		n, _ := conns[0].readRaw(make([]byte, 3))
 		return n == 3
 	})
 	if _, err := conns[1].Read(make([]byte, 1)); err == nil || g.evicted != 1 {
@@ -258,14 +259,14 @@
 // active state. net/http takes an interrupted read for a disconnect, so the request would get
 // no answer.
 func TestEvictionRacingWithRequest(t *testing.T) {
-	g := newClients(8)
+	g := newClients(8, newClientMemory(0, 8, 1))
 	near, far := net.Pipe()
 	defer near.Close()
 	defer far.Close()
-	c := &client{Conn: near, group: g}
+	c := g.newClient(near)
 	g.connState(c, http.StateNew)
 	go io.WriteString(far, "GET")
-	if n, err := c.Read(make([]byte, 3)); n != 3 {
+	if n, err := c.readRaw(make([]byte, 3)); n != 3 {
 		t.Fatal(n, err)
 	}
 	if g.evictAllIdle(); g.evicted != 0 {
@@ -274,7 +275,7 @@
 	g.connState(c, http.StateActive)
 	g.connState(c, http.StateIdle)
 	go io.WriteString(far, "GET")
-	if n, err := c.Read(make([]byte, 3)); n != 3 {
+	if n, err := c.readRaw(make([]byte, 3)); n != 3 {
 		t.Fatal(n, err)
 	}
 	g.evictAllIdle()
@@ -302,7 +303,9 @@
 // Guards the memory limit: the total of all bodies is limited by their declared lengths, which
 // are reserved before any of a body is read.
 func TestBodyBudgetIsReservedBeforeReading(t *testing.T) {
-	f := newFront(idle(t), nil, wire.Site{Classes: []string{"book"}}, newClients(8), 10<<10, new(lifecycle.Lifecycle), false)
+	memory := newClientMemory(0, 8, 1)
+	memory.bodies = membudget.New(10<<10).Account("bodies", 1)
+	f := newFront(idle(t), nil, wire.Site{Classes: []string{"book"}}, newClients(8, memory), memory, new(lifecycle.Lifecycle), false)
 	f.site.Settings.Classes = siteOf(t, settings).Settings.Classes[2:]
 	ask := func() (code int, read int64) {
 		body := &countingReader{}
@@ -313,18 +316,18 @@
 		f.ServeHTTP(w, r)
 		return w.Code, body.n
 	}
-	if !f.bodies.reserve(6 << 10) {
+	if !memory.bodies.Reserve(6 << 10) {
 		t.Fatal("the budget has no room for the first body")
 	}
 	if code, read := ask(); code != http.StatusServiceUnavailable || read != 0 {
 		t.Errorf("answered %d after %d bytes, want 503 with the body unread", code, read)
 	}
-	f.bodies.release(6 << 10)
+	memory.bodies.Release(6 << 10)
 	if code, read := ask(); code != http.StatusRequestTimeout || read == 0 {
 		t.Errorf("answered %d after %d bytes, want 408 after reading the truncated body", code, read)
 	}
-	if n := f.bodies.reserved.Load(); n != 0 {
-		t.Errorf("%d bytes are still reserved", n)
+	if !memory.bodies.Reserve(memory.bodies.Limit()) {
+		t.Error("bytes are still reserved")
 	}
 }
 
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"otterstep/internal/copybuffer"
 	"otterstep/internal/core"
 	"otterstep/internal/framing"
 	"otterstep/internal/lifecycle"
@@ -34,15 +35,14 @@
 	tenants      map[string]int
 	draining     atomic.Bool // the node drains: answers close their connections
 	handingOver  atomic.Bool // the same while another process takes over
-	bodies       byteBudget  // memory for clients' larger bodies
+	memory       *clientMemory
 }
 
-func newFront(l *core.Loop, up *upstream, site wire.Site, g *clients, bodies int64, state *lifecycle.Lifecycle, tellUp bool) *front {
+func newFront(l *core.Loop, up *upstream, site wire.Site, g *clients, memory *clientMemory, state *lifecycle.Lifecycle, tellUp bool) *front {
 	f := &front{
-		loop: l, upstream: up, site: site, clients: g, life: state, failUpAtOnce: tellUp,
+		loop: l, upstream: up, site: site, clients: g, memory: memory, life: state, failUpAtOnce: tellUp,
 		classes: map[string]int{}, tenants: map[string]int{},
 	}
-	f.bodies.limit.Store(bodies)
 	for i, name := range site.Classes {
 		f.classes[name] = i
 	}
@@ -79,8 +79,15 @@
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	full := f.clients.full()
+	c := clientOf(r.Context())
+	if c != nil {
+		if reason := c.requests.Rejected(r); reason != nil {
+			f.rejectHead(w, reason)
+			return
+		}
+	}
 	if r.URL.Path == "/up" {
-		if c := clientOf(r.Context()); c != nil {
+		if c != nil {
 			c.answers.Wait(r.Context())
 		}
 		f.announceClose(w)
@@ -159,6 +166,15 @@
 	}
 }
 
+// rejectHead answers a request whose head was rejected before it was read as a whole.
+func (f *front) rejectHead(w http.ResponseWriter, reason error) {
+	if errors.Is(reason, framing.ErrNoMemory) {
+		f.refuseUnread(w)
+		return
+	}
+	f.rejectRequest(w, &clientError{framing.StatusCode(reason), reason.Error()})
+}
+
 // refuseUnread refuses a request for lack of resources, before any of it was forwarded.
 func (f *front) refuseUnread(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
@@ -173,9 +189,9 @@
 	f.announceClose(w)
 	setAnswerHeaders(w, in.Header.Get("Content-Type"), in.Length)
 	w.WriteHeader(http.StatusOK)
-	buf := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buf)
-	switch err := in.Copy(r.Context(), w, 0, *buf); {
+	buf := copybuffer.Get(f.memory.buffers)
+	defer buf.Release()
+	switch err := in.Copy(r.Context(), w, 0, buf.Bytes); {
 	case errors.Is(err, streaming.ErrClientGone):
 		panic(http.ErrAbortHandler)
 	case err != nil:
@@ -218,7 +234,7 @@
 // parse validates and converts everything but the body.
 func (f *front) parse(r *http.Request) (q core.Request, m *message, err error) {
 	from := clientOf(r.Context())
-	if from != nil && from.framing.Ambiguous() {
+	if from != nil && from.requests.Ambiguous() {
 		return q, nil, badRequest("%v", framing.ErrAmbiguous)
 	}
 	single := func(name string) string {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -287,7 +287,7 @@
 	s.ops.loop.SetNodePart(role.LoadShare())
 	if s.cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(role.MemoryShare() * float64(memoryLimit(s.cfg.MemoryMB))))
-		s.front.bodies.limit.Store(int64(role.MemoryShare() * float64(bodyLimit(s.cfg.MemoryMB))))
+		s.front.memory.setPart(role.MemoryShare())
 	}
 	s.adjustLimits()
 	if role == handover.HandingOver {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,12 +71,6 @@
 	return max(0, window-connect-writeReserve)
 }
 
-// memoryLimit returns the garbage collector's memory limit, in bytes.
-func memoryLimit(mb int) int64 { return int64(mb) << 20 * 3 / 4 }
-
-// bodyLimit returns the limit on the total size of buffered large request bodies, in bytes.
-func bodyLimit(mb int) int64 { return int64(mb) << 20 / 4 }
-
 // splitDescriptors divides the descriptors between connections to servers and to clients. An active request takes
 // one on each side and a second copy one more on the servers' side; clients also have idle connections, and
 // connections on which they never send a request.
@@ -101,7 +95,8 @@
 	// An active request takes a descriptor on each side, and a second copy one more.
 	policySettings.Limits.MaxOpen = connDescriptors / 3
 	serverDescriptors, clientDescriptors := splitDescriptors(connDescriptors)
-	clients := newClients(clientDescriptors)
+	memory := newClientMemory(cfg.MemoryMB, clientDescriptors, 1+len(op.Web))
+	clients := newClients(clientDescriptors, memory)
 	clients.writes = writeLimits(op.Clients.MinReadRate())
 	up := newUpstream(cfg.Site.ConnIdle, cfg.Site.ConnectTimeout, serverDescriptors)
 	discoveryClient := newDiscovery(cfg.Discovery, cfg.Site, c, log)
@@ -111,11 +106,7 @@
 	}
 	var state lifecycle.Lifecycle
 	discoveryClient.onList = l.UpdateServers // returns once the list is in place, so that /up does not report ready before
-	bodies := int64(64 << 20)
-	if cfg.MemoryMB > 0 {
-		bodies = bodyLimit(cfg.MemoryMB)
-	}
-	f := newFront(l, up, cfg.Site, clients, bodies, &state, op.Drain.TellUp)
+	f := newFront(l, up, cfg.Site, clients, memory, &state, op.Drain.TellUp)
 
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -163,7 +154,7 @@
 		}()
 		defer func() { stop(); <-ended }()
 	}
-	webFronts, err := web.Start(background, op.Web, cfg.Seed, c, log)
+	webFronts, err := web.Start(background, op.Web, memory.web(), cfg.Seed, c, log)
 	if err != nil {
 		return err
 	}
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -11,7 +11,7 @@
 const (
 	// maxReadAhead limits the bytes read ahead on one connection. What exceeds it stays in the system's
 	// buffer, which slows the client down.
-	maxReadAhead = 16 << 10
+	maxReadAhead = 4 << 10
 	// disconnectPollInterval is how often a connection with maxReadAhead bytes is checked for a disconnect.
 	disconnectPollInterval = 20 * time.Millisecond
 )
--- a/internal/web/config.go
+++ b/internal/web/config.go
@@ -54,6 +54,7 @@
 		Connections int               `toml:"connections"` // client connections
 		Streams     int               `toml:"streams"`     // per HTTP/2 connection of a client
 		Header      tomlfile.Size     `toml:"header"`      // size of a request's head, and of an answer's
+		Fields      int               `toml:"fields"`      // in a request's head
 		Kept        tomlfile.Size     `toml:"kept"`        // bodies up to this size are buffered for retries
 		KeptAll     tomlfile.Size     `toml:"kept_all"`    // buffered for all requests together
 		Read        tomlfile.Duration `toml:"read"`        // time limit for a request's head, and for each read of its body
@@ -161,6 +162,7 @@
 	intRange("limits.streams", &c.Limits.Streams, 100, 10_000)
 	intRange("limits.tunnels", &c.Limits.Tunnels, 1000, 1_000_000)
 	sizeRange("limits.header", &c.Limits.Header, 32<<10, 1<<10, 1<<20)
+	intRange("limits.fields", &c.Limits.Fields, 100, 10_000)
 	sizeRange("limits.kept", &c.Limits.Kept, 64<<10, 0, 16<<20)
 	sizeRange("limits.kept_all", &c.Limits.KeptAll, 64<<20, c.Limits.Kept.Bytes, 1<<40)
 	minDuration("limits.read", &c.Limits.Read, 10*time.Second, 100*time.Millisecond)
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -24,6 +24,7 @@
 
 	"otterstep/internal/bodyrate"
 	"otterstep/internal/conns"
+	"otterstep/internal/copybuffer"
 	"otterstep/internal/core"
 	"otterstep/internal/framing"
 	"otterstep/internal/h1"
@@ -45,7 +46,7 @@
 	trusted       []netip.Prefix
 	listener      net.Listener
 	server        *http.Server
-	buffers       sync.Pool // copy buffers
+	memory        Memory
 	bufferedBytes atomic.Int64
 	lastID        atomic.Uint64 // of the latest request
 	draining      atomic.Bool
@@ -65,9 +66,8 @@
 
 // New opens the listener and creates the pool; Run serves. The configuration must have passed
 // CheckAll.
-func New(c Config, seed uint64, clock core.Clock, log *slog.Logger) (_ *Front, err error) {
-	f := &Front{opt: c, log: log.With("web", c.Name), ruleHits: make([]atomic.Int64, len(c.Rule)+1)}
-	f.buffers.New = func() any { b := make([]byte, 32<<10); return &b }
+func New(c Config, memory Memory, seed uint64, clock core.Clock, log *slog.Logger) (_ *Front, err error) {
+	f := &Front{opt: c, memory: memory, log: log.With("web", c.Name), ruleHits: make([]atomic.Int64, len(c.Rule)+1)}
 	if f.classify, err = c.newClassifier(); err != nil {
 		return nil, err
 	}
@@ -147,11 +147,11 @@
 			}
 		}
 	}()
-	limited := netutil.LimitListener(f.listener, f.opt.Limits.Connections)
+	limited := netutil.LimitListener(f.listener, f.maxConnections())
 	serveErr := make(chan error, 1)
 	go func() {
 		if len(f.opt.Cert) == 0 {
-			serveErr <- f.server.Serve(framing.Listener(limited))
+			serveErr <- f.server.Serve(framing.Listener(limited, f.requestLimits()))
 			return
 		}
 		certs, err := loadCerts(&f.opt)
@@ -159,7 +159,7 @@
 			serveErr <- err
 			return
 		}
-		serveErr <- f.server.Serve(newTLSListener(limited, certs.listenerConfig(), f.opt.Limits.Read.Duration))
+		serveErr <- f.server.Serve(newTLSListener(limited, certs.listenerConfig(), f.opt.Limits.Read.Duration, f.requestLimits()))
 	}()
 	f.log.Info("serving", "listen", f.Addr(), "servers", len(f.opt.Servers))
 	var err error
@@ -233,7 +233,12 @@
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q, p := f.classifyRequest(r)
+	release, p := f.admit(r)
+	var q request
+	if p == nil {
+		defer release()
+		q, p = f.classifyRequest(r)
+	}
 	if p == nil {
 		var ended func()
 		if q.exchange, ended, p = f.newExchange(w, r, q.Class); p == nil {
@@ -338,7 +343,7 @@
 // classifyRequest validates and classifies the head of a request; p is nil if it is valid.
 func (f *Front) classifyRequest(r *http.Request) (q request, p *problem) {
 	switch conn := framingOf(r); {
-	case conn != nil && conn.Checker.Ambiguous():
+	case conn != nil && conn.Requests.Ambiguous():
 		return q, &problem{Status: http.StatusBadRequest, Title: "bad request", Detail: framing.ErrAmbiguous.Error(), closeConn: true}
 	case r.Method == http.MethodConnect || r.Method == http.MethodTrace:
 		return q, &problem{Status: http.StatusMethodNotAllowed, Title: "method not carried", Detail: r.Method + " is not carried here"}
@@ -440,6 +445,7 @@
 		unhookClient()
 		x.restClaim.Close()
 		f.bufferedBytes.Add(-reserved)
+		f.memory.Bodies.Release(reserved)
 	}
 	if x.expectsContinue = strings.EqualFold(r.Header.Get("Expect"), "100-continue"); x.expectsContinue || r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		if x.expectsContinue && r.ContentLength != 0 {
@@ -451,9 +457,10 @@
 	if r.ContentLength >= 0 {
 		maxBuffered = min(maxBuffered, r.ContentLength)
 	}
-	if reserved = maxBuffered; f.bufferedBytes.Add(reserved) > int64(f.opt.Limits.KeptAll.Bytes) {
-		f.bufferedBytes.Add(-reserved) // no buffer space left: the body is streamed and can be sent only once
-		reserved, maxBuffered = 0, 0
+	if f.reserveBody(maxBuffered) {
+		reserved = maxBuffered
+	} else { // the body is streamed and can be sent only once
+		maxBuffered = 0
 	}
 	text, err := io.ReadAll(io.LimitReader(x.body, maxBuffered+1))
 	if err != nil {
@@ -471,6 +478,15 @@
 	return x, ended, nil
 }
 
+// reserveBody reserves memory for a body that is kept for further attempts.
+func (f *Front) reserveBody(n int64) bool {
+	if f.bufferedBytes.Add(n) > int64(f.opt.Limits.KeptAll.Bytes) || !f.memory.Bodies.Reserve(n) {
+		f.bufferedBytes.Add(-n)
+		return false
+	}
+	return true
+}
+
 // originForm returns the target in origin form, or "*", without re-encoding a target that
 // was sent in origin form (RFC 9112, section 3.2).
 func originForm(r *http.Request) string {
@@ -485,9 +501,9 @@
 
 // copyBuffered copies with a pooled buffer.
 func (f *Front) copyBuffered(to io.Writer, from io.Reader) (int64, error) {
-	b := f.buffers.Get().(*[]byte)
-	defer f.buffers.Put(b)
-	return io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, *b)
+	b := copybuffer.Get(f.memory.Buffers)
+	defer b.Release()
+	return io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, b.Bytes)
 }
 
 // problemFor returns the error response for a request that got no answer from a server.
--- a/internal/web/fronts.go
+++ b/internal/web/fronts.go
@@ -19,11 +19,11 @@
 }
 
 // Start opens all listeners, or none on error, and serves until ctx ends; call Wait after
-// that. The configuration must have passed CheckAll.
-func Start(ctx context.Context, all []Config, seed uint64, clock core.Clock, log *slog.Logger) (*Fronts, error) {
+// that. memory is what the clients of each front can make it hold. The configuration must have passed CheckAll.
+func Start(ctx context.Context, all []Config, memory Memory, seed uint64, clock core.Clock, log *slog.Logger) (*Fronts, error) {
 	s := &Fronts{failed: make(chan error, len(all))}
 	for i, c := range all {
-		f, err := New(c, seed+uint64(i), clock, log)
+		f, err := New(c, memory, seed+uint64(i), clock, log)
 		if err != nil {
 			for _, f := range s.all {
 				f.listener.Close()
--- a/internal/web/listener.go
+++ b/internal/web/listener.go
@@ -18,6 +18,7 @@
 	net.Listener
 	config    *tls.Config
 	timeout   time.Duration // of a handshake
+	limits    framing.Limits
 	ready     chan net.Conn
 	failed    chan error // from the inner listener; has a buffer of one
 	ctx       context.Context
@@ -26,8 +27,8 @@
 }
 
 // newTLSListener returns a listener for the connections of inner.
-func newTLSListener(inner net.Listener, config *tls.Config, timeout time.Duration) *tlsListener {
-	l := &tlsListener{Listener: inner, config: config, timeout: timeout, ready: make(chan net.Conn), failed: make(chan error, 1)}
+func newTLSListener(inner net.Listener, config *tls.Config, timeout time.Duration, limits framing.Limits) *tlsListener {
+	l := &tlsListener{Listener: inner, config: config, timeout: timeout, limits: limits, ready: make(chan net.Conn), failed: make(chan error, 1)}
 	l.ctx, l.close = context.WithCancel(context.Background())
 	l.accepting.Go(l.acceptAll)
 	return l
@@ -58,7 +59,7 @@
 	if state := secure.ConnectionState(); state.NegotiatedProtocol == "h2" {
 		paced.Enable()
 	} else {
-		framed := framing.NewConn(secure)
+		framed := framing.NewConn(secure, l.limits)
 		framed.TLS = &state
 		conn = framed
 	}
@@ -125,6 +126,6 @@
 // stopFraming is used as http.Server.ConnState: a connection that was taken over carries no more requests.
 func stopFraming(c net.Conn, s http.ConnState) {
 	if framed, ok := c.(*framing.Conn); ok && s == http.StateHijacked {
-		framed.Checker.Stop()
+		framed.Requests.Stop()
 	}
 }
--- a/internal/web/relay.go
+++ b/internal/web/relay.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"otterstep/internal/copybuffer"
 	"otterstep/internal/h1"
 	"otterstep/internal/streaming"
 	"otterstep/internal/web/fields"
@@ -41,9 +42,9 @@
 	if answer.Length < 0 { // clients may wait for the head alone; and without it net/http gives short answers a length and no trailers
 		_ = control.Flush() // a failure shows at the first write
 	}
-	b := f.buffers.Get().(*[]byte)
-	defer f.buffers.Put(b)
-	switch err := answer.Copy(x.ctx, w, f.opt.Limits.Stall.Duration, *b); {
+	b := copybuffer.Get(f.memory.Buffers)
+	defer b.Release()
+	switch err := answer.Copy(x.ctx, w, f.opt.Limits.Stall.Duration, b.Bytes); {
 	case errors.Is(err, streaming.ErrClientGone):
 		f.disconnects.Add(1)
 		panic(http.ErrAbortHandler)
--- a/internal/web/web_test.go
+++ b/internal/web/web_test.go
@@ -63,7 +63,7 @@
 		r.t.Fatal(err)
 	}
 	var err error
-	if r.front, err = New(file.Web[0], 1, core.NewClock(), slog.New(slog.NewTextHandler(&r.log, nil))); err != nil {
+	if r.front, err = New(file.Web[0], Memory{}, 1, core.NewClock(), slog.New(slog.NewTextHandler(&r.log, nil))); err != nil {
 		r.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
