One budget for the memory that clients make a node hold

Fix: internal/membudget has one budget with accounts that all fronts use; internal/framing.Reader holds heads back until they are whole, limits their fields and reserves a request's memory before net/http sees it. What does not fit is refused before anything is passed on, so that nothing taken is lost.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,6 +20,7 @@
 	"golang.org/x/net/netutil"
 
 	"otterstep/internal/cordon"
+	"otterstep/internal/membudget"
 	"otterstep/internal/unixsock"
 	"otterstep/internal/writelimit"
 )
@@ -203,6 +204,8 @@
 	Heap  uint64 `json:"heap"`
 	Total uint64 `json:"total"` // obtained from the operating system
 	Limit uint64 `json:"limit"`
+	// Budget is what clients make the process hold, by kind.
+	Budget []membudget.Usage `json:"budget,omitempty"`
 }
 
 // Node is the node behind a control socket.
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -32,6 +32,8 @@
 	badLength bool  // net/http rejects the request at the end of its head
 	remaining int64 // remaining bytes of the body or chunk
 
+	most      HeadSize // of a head; 0: no limit
+	tooLarge  bool     // a head is larger; parsing has stopped at its beginning
 	head      HeadSize // of the head that has begun
 	completed HeadSize // the largest sizes of heads that have ended since takeCompleted
 }
@@ -68,7 +70,7 @@
 func (f *Checker) Stop() { f.stop.Store(true) }
 
 // Observe processes bytes received from the client. It returns how many of them come before the head that they leave
-// incomplete; all of them, if they do not end within a head.
+// incomplete; all of them, if they do not end within a head. Behind a head that is too large it is those before that.
 func (f *Checker) Observe(b []byte) (whole int) {
 	if f.stop.Load() {
 		return len(b)
@@ -103,6 +105,10 @@
 		}
 		if f.state == inHead {
 			f.head.Bytes += min(len(piece)+1, len(b))
+			if f.tooLarge = f.exceedsMost(); f.tooLarge {
+				f.state = stopped
+				return whole
+			}
 		}
 		if end < 0 {
 			b = nil
@@ -129,6 +135,11 @@
 	return size
 }
 
+// exceedsMost reports that the head that has begun is too large.
+func (f *Checker) exceedsMost() bool {
+	return f.most.Bytes > 0 && f.head.Bytes > f.most.Bytes || f.most.Fields > 0 && f.head.Fields > f.most.Fields
+}
+
 // betweenRequests reports that no request has begun whose end has not been seen.
 func (f *Checker) betweenRequests() bool { return f.state == inHead && f.head.Bytes == 0 }
 
--- a/internal/framing/reader.go
+++ b/internal/framing/reader.go
@@ -1,7 +1,6 @@
 package framing
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -32,8 +31,10 @@
 	fieldBytes = 128
 	// minRead is the size of a read that continues a head. net/http's first read is a short one.
 	minRead = 4 << 10
-	// smallHeadBytes is a head's size up to which a request may use the last quarter of the budget.
+	// smallHeadBytes is a head's size up to which a request without a body may use the whole budget.
 	smallHeadBytes = 4 << 10
+	// largePart is the part of the budget that is for all other requests.
+	largePart = 0.75
 )
 
 // ErrNoMemory says why a request was rejected for which no memory was left.
@@ -80,7 +81,9 @@
 
 // NewReader returns a reader of source.
 func NewReader(source io.Reader, limits Limits) *Reader {
-	return &Reader{source: source, limits: limits, heads: reservation{account: limits.Heads}, requests: reservation{account: limits.Requests}}
+	r := &Reader{source: source, limits: limits, heads: reservation{account: limits.Heads}, requests: reservation{account: limits.Requests}}
+	r.most = HeadSize{Bytes: limits.HeadBytes, Fields: limits.Fields}
+	return r
 }
 
 // rejectedRequest stands in for a request that was rejected.
@@ -97,6 +100,24 @@
 	return nil
 }
 
+// maxDiscardTime is how long the rest of a rejected request is read and discarded, since many clients read no answer
+// before they have sent all, and a close over unread bytes resets the connection.
+const maxDiscardTime = 3 * time.Second
+
+// AwaitRest is called by the handler of a rejected request once the answer is written: it waits until the client has
+// closed the connection, or for maxDiscardTime.
+func AwaitRest(w http.ResponseWriter, q *http.Request) {
+	if http.NewResponseController(w).Flush() != nil {
+		return
+	}
+	limit := time.NewTimer(maxDiscardTime)
+	defer limit.Stop()
+	select {
+	case <-q.Context().Done():
+	case <-limit.C:
+	}
+}
+
 // Close returns the reserved memory.
 func (r *Reader) Close() {
 	r.heads.close()
@@ -140,11 +161,11 @@
 			r.reject(reason)
 			continue
 		}
-		if reason := r.check(r.head); reason != nil {
-			if len(r.held) == 0 {
-				r.ready = bytes.Clone(in[:whole]) // requests before the one that is too large
+		if r.tooLarge {
+			if whole > 0 { // requests before the one that is too large
+				r.ready = append(r.held, in[:whole]...)
 			}
-			r.reject(reason)
+			r.reject(r.headError())
 			continue
 		}
 		if err == nil && len(r.held) == 0 && (whole == n || look) {
@@ -172,15 +193,12 @@
 	return n
 }
 
-// check returns an error if a head is too large.
-func (r *Reader) check(head HeadSize) error {
-	switch {
-	case head.Bytes > r.limits.HeadBytes:
-		return &HeadError{fmt.Sprintf("head: over %d bytes", r.limits.HeadBytes)}
-	case head.Fields > r.limits.Fields:
+// headError returns the error of a head that is too large.
+func (r *Reader) headError() error {
+	if r.head.Fields > r.limits.Fields {
 		return TooManyFields(r.limits.Fields)
 	}
-	return nil
+	return &HeadError{fmt.Sprintf("head: over %d bytes", r.limits.HeadBytes)}
 }
 
 // admit reserves memory for a request whose head has ended. Requests that came together are served one after the other;
@@ -189,17 +207,14 @@
 	if completed.Bytes == 0 {
 		return nil
 	}
-	if err := r.check(completed); err != nil {
-		return err
-	}
 	r.later = true
 	if r.requests.held() > 0 {
 		return nil
 	}
 	need := r.limits.RequestBytes + int64(completed.Bytes+completed.Fields*fieldBytes)
 	part := 1.0
-	if completed.Bytes > smallHeadBytes {
-		part = 0.75
+	if completed.Bytes > smallHeadBytes || !r.betweenRequests() {
+		part = largePart // it has a body, or a large head
 	}
 	if !r.requests.add(need, part) {
 		return ErrNoMemory
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -82,7 +82,7 @@
 	c := clientOf(r.Context())
 	if c != nil {
 		if reason := c.requests.Rejected(r); reason != nil {
-			f.rejectHead(w, reason)
+			f.rejectHead(w, r, reason)
 			return
 		}
 	}
@@ -167,12 +167,15 @@
 }
 
 // rejectHead answers a request whose head was rejected before it was read as a whole.
-func (f *front) rejectHead(w http.ResponseWriter, reason error) {
+func (f *front) rejectHead(w http.ResponseWriter, r *http.Request, reason error) {
 	if errors.Is(reason, framing.ErrNoMemory) {
 		f.refuseUnread(w)
-		return
+	} else {
+		f.rejectRequest(w, &clientError{framing.StatusCode(reason), reason.Error()})
+	}
+	if !f.clients.nearLimit() {
+		framing.AwaitRest(w, r)
 	}
-	f.rejectRequest(w, &clientError{framing.StatusCode(reason), reason.Error()})
 }
 
 // refuseUnread refuses a request for lack of resources, before any of it was forwarded.
--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -13,6 +13,7 @@
 	"otterstep/internal/control"
 	"otterstep/internal/core"
 	"otterstep/internal/lifecycle"
+	"otterstep/internal/membudget"
 	"otterstep/internal/sip"
 	"otterstep/internal/sip/proxy"
 	"otterstep/internal/web"
@@ -20,16 +21,17 @@
 
 // inspector serves the control socket.
 type inspector struct {
-	cfg       Config
-	listen    string
-	loop      *core.Loop
-	clients   *clients
-	sip       *sip.Front // nil if it is off
-	webFronts *web.Fronts
-	saver     *stateSaver // nil if no state is saved
-	fleet     *fleetBans  // nil if fleet bans are not accepted
-	state     func() lifecycle.State
-	started   time.Time
+	cfg          Config
+	listen       string
+	loop         *core.Loop
+	clients      *clients
+	sip          *sip.Front // nil if it is off
+	webFronts    *web.Fronts
+	saver        *stateSaver // nil if no state is saved
+	fleet        *fleetBans  // nil if fleet bans are not accepted
+	clientMemory *clientMemory
+	state        func() lifecycle.State
+	started      time.Time
 
 	mu        sync.Mutex
 	reloads   int
@@ -80,7 +82,7 @@
 		Form: control.Version, Name: i.cfg.Name, Version: buildinfo.Version(), Started: i.started, State: state, Listen: i.listen,
 		Open: view.Open, Held: view.Queued, Attempts: view.InFlight, Clients: i.clients.inspect(),
 		Descriptors: control.Descriptors{Open: descriptors(), Limit: i.cfg.Sockets},
-		Memory:      memory(i.cfg.MemoryMB), Servers: serversOf(view, i.loop.Clock()),
+		Memory:      memory(i.cfg.MemoryMB, i.clientMemory.budget), Servers: serversOf(view, i.loop.Clock()),
 		Counts: countsOf(view, func(class int) string { return i.cfg.Site.Classes[class] }),
 	}
 	if i.saver != nil {
@@ -164,11 +166,11 @@
 	return len(entries) - 1 // one of them is the directory being read
 }
 
-func memory(limitMB int) control.Memory {
+func memory(limitMB int, budget *membudget.Budget) control.Memory {
 	// Unlike runtime.ReadMemStats, this does not stop the world.
 	samples := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}, {Name: "/memory/classes/total:bytes"}}
 	metrics.Read(samples)
-	return control.Memory{Heap: samples[0].Value.Uint64(), Total: samples[1].Value.Uint64(), Limit: uint64(limitMB) << 20}
+	return control.Memory{Heap: samples[0].Value.Uint64(), Total: samples[1].Value.Uint64(), Limit: uint64(limitMB) << 20, Budget: budget.Inspect()}
 }
 
 func (g *clients) inspect() control.Clients {
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -50,6 +50,7 @@
 	requests *membudget.Account // requests in progress
 	bodies   *membudget.Account // bodies that are kept for further attempts
 	buffers  *membudget.Account // for streaming bodies and answers
+	calls    *membudget.Account // SIP's requests, and datagrams that wait
 }
 
 // newClientMemory divides the memory of a node with a limit of mb among its HTTP fronts, which have so many descriptors
@@ -66,6 +67,7 @@
 	m.requests = m.budget.Account("requests", 1)
 	m.bodies = m.budget.Account("bodies", min(0.6, float64(bodyLimit(mb))/float64(m.shared(1))))
 	m.buffers = m.budget.Account("buffers", 0.5)
+	m.calls = m.budget.Account("calls", 0.6)
 	return m
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,7 +141,7 @@
 	}
 	var sipFront *sip.Front
 	if op.SIP.Enabled() {
-		if sipFront, err = sip.New(op.SIP, cfg.Seed, c, log); err != nil {
+		if sipFront, err = sip.New(op.SIP, memory.calls, cfg.Seed, c, log); err != nil {
 			return err
 		}
 		if discoveryClient.model = op.SIP.Model; discoveryClient.model != "" {
@@ -182,7 +182,7 @@
 		discoveryClient.run(background)
 	}()
 	inspect := newInspector(cfg, listener.Addr().String(), l, clients, sipFront, webFronts)
-	inspect.saver, inspect.fleet = saver, fleet
+	inspect.saver, inspect.fleet, inspect.clientMemory = saver, fleet, memory
 	go reloads.follow(background, cfg, func(addr string) { discoveryClient.setAddress(background, addr) }, inspect.reloaded, log)
 	go func() {
 		for every := time.Tick(time.Second); background.Err() == nil; <-every {
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -18,6 +18,7 @@
 
 	"otterstep/internal/connpace"
 	"otterstep/internal/core"
+	"otterstep/internal/membudget"
 	"otterstep/internal/serverlist"
 	"otterstep/internal/sip/message"
 	"otterstep/internal/sip/proxy"
@@ -42,6 +43,7 @@
 // Front proxies SIP. Make it with New, then call Run.
 type Front struct {
 	config    Config
+	memory    *membudget.Account // of requests and of datagrams that wait
 	log       *slog.Logger
 	loop      *core.Loop
 	machine   *proxy.Machine
@@ -74,14 +76,15 @@
 	withdrawn chan struct{}
 }
 
-// New opens the listeners and makes the pool. The configuration must have passed Check.
-func New(c Config, seed uint64, clock core.Clock, log *slog.Logger) (*Front, error) {
-	return newFront(c, seed, clock, transaction.DefaultTiming(), log)
+// New opens the listeners and makes the pool. memory is what requests can make the front hold; nil: no limit. The
+// configuration must have passed Check.
+func New(c Config, memory *membudget.Account, seed uint64, clock core.Clock, log *slog.Logger) (*Front, error) {
+	return newFront(c, memory, seed, clock, transaction.DefaultTiming(), log)
 }
 
-func newFront(c Config, seed uint64, clock core.Clock, timing transaction.Timing, log *slog.Logger) (_ *Front, err error) {
+func newFront(c Config, memory *membudget.Account, seed uint64, clock core.Clock, timing transaction.Timing, log *slog.Logger) (_ *Front, err error) {
 	f := &Front{
-		config: c, log: log, events: make(chan func(), maxQueuedEvents), stopped: make(chan struct{}),
+		config: c, memory: memory, log: log, events: make(chan func(), maxQueuedEvents), stopped: make(chan struct{}),
 		transport:       transportByName[c.Upstream.Transport],
 		pendingAttempts: map[uint64]pendingAttempt{}, pendingRequests: map[uint64]pendingRequest{}, servers: map[policy.ServerID]core.Server{},
 	}
@@ -93,7 +96,7 @@
 	options := proxy.Options{
 		Host: f, Timing: timing, RetryAfter: c.RetryAfter.Duration, TokenLifetime: c.DialogFor.Duration,
 		Limits: proxy.Limits{Transactions: c.Limits.Transactions, PerSource: c.Limits.PerSource},
-		Listen: map[proxy.Transport]netip.AddrPort{}, WallTime: clock.Wall,
+		Memory: memory, Listen: map[proxy.Transport]netip.AddrPort{}, WallTime: clock.Wall,
 	}
 	for i, class := range c.classes() {
 		options.Deadlines[i] = class.Deadline.Duration
@@ -526,11 +529,26 @@
 		if err == nil && n > f.config.Limits.Message.Bytes {
 			err = &message.Error{Code: 513, Text: "a message larger than is taken"}
 		}
-		peer := proxy.Peer{Transport: proxy.UDP, Addr: from}
-		select {
-		case f.events <- func() { f.machine.Receive(f.now(), peer, m, err) }:
-		default:
-			f.dropped.Add(1)
-		}
+		f.queueDatagram(proxy.Peer{Transport: proxy.UDP, Addr: from}, m, err, int64(datagramBytes+2*n))
+	}
+}
+
+// datagramBytes is what a datagram that waits holds beside its text, which is there twice.
+const datagramBytes = 1 << 10
+
+// queueDatagram queues a datagram for the Machine, and drops it if there is no room: its sender sends it again.
+func (f *Front) queueDatagram(from proxy.Peer, m *message.Message, err error, bytes int64) {
+	if !f.memory.ReserveWithin(bytes, datagramsPart) {
+		f.dropped.Add(1)
+		return
+	}
+	select {
+	case f.events <- func() { f.memory.Release(bytes); f.machine.Receive(f.now(), from, m, err) }:
+	default:
+		f.memory.Release(bytes)
+		f.dropped.Add(1)
 	}
 }
+
+// datagramsPart is the part of the memory that waiting datagrams leave to requests.
+const datagramsPart = 0.5
--- a/internal/sip/proxy/bounds_test.go
+++ b/internal/sip/proxy/bounds_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/membudget"
 	"otterstep/internal/sip/message"
 )
 
@@ -60,6 +61,45 @@
 	}
 }
 
+// Guards against a flood of calls that takes more memory than the node has: calls beyond the budget are refused, requests inside
+// dialogs have a part of their own, and in the end all is given back.
+func TestMemoryBoundsRequests(t *testing.T) {
+	w := newSimulation(t, 1, 0)
+	w.m.options.Host = &discardHost{simulation: w}
+	w.m.options.Limits = Limits{Transactions: 10_000, PerSource: 10_000}
+	budget := membudget.New(100 * openBytes)
+	w.m.options.Memory = budget.Account("calls", 1)
+	user := w.m.options.Signer.Sign(w.claims(2), "call", "t")
+	receive := func(n int, method, route, tag string) {
+		text := fmt.Appendf(nil, "%s sip:desk@pool SIP/2.0\r\nVia: SIP/2.0/UDP 10.0.0.1;rport;branch=z9hG4bK%s%d\r\n%sFrom: <sip:a@b>;tag=t\r\nTo: <sip:desk@pool>%s\r\nCall-ID: call\r\nCSeq: %d %s\r\n\r\n",
+			method, method, n, route, tag, n+1, method)
+		q, err := message.Parse(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.m.Receive(w.now, Peer{Transport: UDP, Addr: netip.MustParseAddrPort("127.0.0.8:5060")}, q, nil)
+	}
+	for n := range 200 {
+		receive(n, message.Invite, "", "")
+	}
+	if n := len(w.m.exchanges); n != 75 || w.m.counts.Refused["memory"] != 125 {
+		t.Errorf("%d calls, refused %v", n, w.m.counts.Refused)
+	}
+	for n := range 50 {
+		receive(n, "INFO", "Route: <sip:"+user+"@127.0.0.1:5060;lr>\r\n", ";tag=d")
+	}
+	if n := len(w.m.exchanges); n != 100 || budget.Inspect()[0].Held != 100*openBytes {
+		t.Errorf("%d requests, %+v", n, budget.Inspect())
+	}
+	for due := w.m.Due(); due > 0; due = w.m.Due() {
+		w.now = due
+		w.m.Tick(due)
+	}
+	if u := budget.Inspect()[0]; u.Held != 0 || len(w.m.exchanges) != 0 {
+		t.Errorf("left behind: %+v, %d requests", u, len(w.m.exchanges))
+	}
+}
+
 // discardHost discards all messages and counts requests by method.
 type discardHost struct {
 	*simulation
--- a/internal/sip/proxy/exchange.go
+++ b/internal/sip/proxy/exchange.go
@@ -20,6 +20,7 @@
 	from         Peer
 	responseDest Peer       // destination of responses
 	source       netip.Addr // source whose limit it counts against; invalid if none
+	reserved     int64      // bytes of Options.Memory
 	server       transaction.Machine
 	lastResponse []byte // the response to send again for a retransmission
 	timer        timer
@@ -38,6 +39,23 @@
 	branches        []*branch
 }
 
+const (
+	// openBytes is what a request without a final response holds, with its branches.
+	openBytes = 14 << 10
+	// answeredBytes is what is left of it while retransmissions may come.
+	answeredBytes = 3 << 10
+	// newDialogsPart is the part of the memory that requests outside dialogs leave to those inside.
+	newDialogsPart = 0.75
+)
+
+// settle returns the memory that an exchange needs no longer.
+func (m *Machine) settle(x *exchange, needs int64) {
+	if x.reserved > needs {
+		m.options.Memory.Release(x.reserved - needs)
+		x.reserved = needs
+	}
+}
+
 // newExchange registers a request that was received at now.
 func (m *Machine) newExchange(now time.Duration, key string, q *message.Message, from, dest Peer) *exchange {
 	m.lastID++
@@ -116,6 +134,7 @@
 		return
 	}
 	delete(m.exchanges, x.id)
+	m.settle(x, 0)
 	if m.byKey[x.key] == x {
 		delete(m.byKey, x.key)
 	}
@@ -172,6 +191,7 @@
 		m.options.Host.Transmit(x.responseDest, "", x.lastResponse)
 	}
 	if first {
+		m.settle(x, answeredBytes)
 		x.bestResponse, x.request = nil, nil
 		for _, b := range x.branches {
 			m.abandonBranch(now, b)
--- a/internal/sip/proxy/proxy.go
+++ b/internal/sip/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"slices"
 	"time"
 
+	"otterstep/internal/membudget"
 	"otterstep/internal/sip/message"
 	"otterstep/internal/sip/token"
 	"otterstep/internal/sip/transaction"
@@ -126,7 +127,8 @@
 	Timing        transaction.Timing
 	Deadlines     [NumClasses]time.Duration
 	Limits        Limits
-	RetryAfter    time.Duration // minimum; a random part of up to as much is added, so that clients don't return all at once
+	Memory        *membudget.Account // of requests and their transactions; nil: not limited
+	RetryAfter    time.Duration      // minimum; a random part of up to as much is added, so that clients don't return all at once
 	Signer        *token.Signer
 	TokenLifetime time.Duration // validity of a token
 	Listen        map[Transport]netip.AddrPort
--- a/internal/sip/proxy/receive.go
+++ b/internal/sip/proxy/receive.go
@@ -113,11 +113,12 @@
 		m.respondStateless(from, q, 481, "")
 		return
 	}
-	if len(m.exchanges) >= m.options.Limits.Transactions {
+	if len(m.exchanges) >= m.options.Limits.Transactions || !m.options.Memory.Reserve(answeredBytes) {
 		m.respondStateless(from, q, 200, "") // the table is full, so retransmissions are answered statelessly
 	} else {
 		m.setVia(from, q)
 		c := m.newExchange(now, key, q, from, responseDest(from, q.Via))
+		c.reserved = answeredBytes
 		m.respondStatus(now, c, 200, 0)
 	}
 	m.cancel(now, x)
@@ -193,6 +194,8 @@
 		cause = "transactions"
 	case m.sources[source] >= m.options.Limits.PerSource:
 		cause = "source"
+	case !m.options.Memory.ReserveWithin(openBytes, newDialogsPart):
+		cause = "memory"
 	}
 	if cause != "" {
 		m.countRefusal(cause)
@@ -201,7 +204,7 @@
 	}
 	m.counts.Requests++
 	x := m.newExchange(now, key, q, from, responseDest(from, q.Via))
-	x.loopHash, x.source, x.awaitingCore = loop, source, true
+	x.loopHash, x.source, x.awaitingCore, x.reserved = loop, source, true, openBytes
 	m.sources[source]++
 	if x.method == message.Invite {
 		m.respondStatus(now, x, 100, 0)
@@ -240,6 +243,8 @@
 		code, cause = 503, "closed"
 	case len(m.exchanges) >= m.options.Limits.Transactions:
 		code, cause = 503, "transactions"
+	case !m.options.Memory.Reserve(openBytes):
+		code, cause = 503, "memory"
 	}
 	if cause == "closed" && !from.Transport.Reliable() {
 		m.countRefusal(cause)
@@ -255,7 +260,7 @@
 		m.counts.Byes++
 	}
 	x := m.newExchange(now, key, q, from, responseDest(from, q.Via))
-	x.loopHash, x.inDialog = loop, true
+	x.loopHash, x.inDialog, x.reserved = loop, true, openBytes
 	if x.method == message.Invite {
 		m.respondStatus(now, x, 100, 0)
 	}
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -249,6 +249,9 @@
 		f.rejected.Add(1)
 		paceOwnAnswer(r)
 		f.writeProblem(w, p, id)
+		if conn := framingOf(r); conn != nil && conn.Requests.Rejected(r) != nil {
+			framing.AwaitRest(w, r)
+		}
 		return
 	}
 	answers := make(chan core.Answer, 1)
