--- a/internal/web/http2pool.go
+++ b/internal/web/http2pool.go
@@ -43,7 +43,7 @@
 	return &http2Pool{
 		transport: &http2.Transport{
 			AllowHTTP: true, DisableCompression: true, MaxHeaderListSize: uint32(c.Limits.Header.Bytes), StrictMaxConcurrentStreams: true,
-			ReadIdleTimeout: c.Upstream.Idle.Duration, PingTimeout: c.Upstream.Connect.Duration, WriteByteTimeout: c.Limits.Stall.Duration,
+			ReadIdleTimeout: c.Upstream.Idle.Duration, PingTimeout: c.Limits.Stall.Duration, WriteByteTimeout: c.Limits.Stall.Duration,
 		},
 		tlsConfig: tlsConfig, connectTimeout: c.Upstream.Connect.Duration, maxConns: c.Upstream.Connections, conns: map[core.Server][]*http2.ClientConn{},
 	}
