A large request's time counts from when its client may have written the last byte

Cause: the time was counted from when the node had read, or the server had taken, the last byte, while the systems' buffers held megabytes that the client had written long before.

Fix: bodyrate tracks the earliest moment at which the rest of a body may have been in those buffers (SIOCINQ, and 4 MB on the client's side); a read that waits for the client starts it anew. It works since a client that still writes leaves the receive buffer empty or makes a read wait.

--- a/internal/bodyrate/bodyrate.go
+++ b/internal/bodyrate/bodyrate.go
@@ -30,6 +30,7 @@
 	waited   time.Duration
 	waived   atomic.Bool // the rate does not count any more
 	stopped  atomic.Bool // all further reads fail
+	arrival  arrival
 }
 
 // NewReader returns a reader of src, the body of the request that control answers.
@@ -40,6 +41,7 @@
 // Stop interrupts a pending read and makes all further ones fail.
 func (r *Reader) Stop() {
 	r.stopped.Store(true)
+	r.arrival.end()
 	_ = r.control.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection has ended
 }
 
@@ -53,9 +55,15 @@
 	if r.stopped.Load() {
 		return 0, ErrStopped
 	}
+	empty := r.arrival.nothingUnread()
 	n, err := r.src.Read(b)
 	r.received += int64(n)
-	r.waited += time.Since(began)
+	ended := time.Now()
+	took := ended.Sub(began)
+	r.waited += took
+	if r.arrival.observe(ended, empty && took >= hadToWait, r.received); err != nil {
+		r.arrival.end()
+	}
 	if errors.Is(err, io.EOF) && !r.stopped.Load() {
 		_ = r.control.SetReadDeadline(time.Time{})
 	}
--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -3,9 +3,11 @@
 import (
 	"crypto/tls"
 	"net"
+	"syscall"
 	"time"
 
 	"otterstep/internal/connpace"
+	"otterstep/internal/sockbuf"
 )
 
 // Conn is a client's connection whose requests are read by a Reader.
@@ -49,6 +51,26 @@
 	return c.Conn.Close()
 }
 
+// Unread returns how many bytes of the client's wait in the system's buffer.
+func (c *Conn) Unread() int {
+	under := c.Conn.Conn
+	if secure, ok := under.(*tls.Conn); ok {
+		under = secure.NetConn()
+	}
+	if paced, ok := under.(*connpace.Conn); ok {
+		under = paced.Conn
+	}
+	s, ok := under.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	socket, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	return sockbuf.Unread(socket)
+}
+
 // Listener wraps the connections of a listener in Conn.
 func Listener(l net.Listener, limits Limits) net.Listener { return listener{l, limits} }
 
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -17,6 +17,7 @@
 	"otterstep/internal/framing"
 	"otterstep/internal/lifecycle"
 	"otterstep/internal/operator"
+	"otterstep/internal/sockbuf"
 	"otterstep/internal/writelimit"
 )
 
@@ -229,6 +230,9 @@
 	return gone || err != nil
 }
 
+// unread returns how many bytes wait in the system's receive buffer.
+func (c *client) unread() int { return sockbuf.Unread(c.socket) }
+
 // hasOpenRequest reports whether a request is open and its context can be canceled.
 func (c *client) hasOpenRequest() bool {
 	c.group.mu.Lock()
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -9,6 +9,7 @@
 	"net/http/httputil"
 	"time"
 
+	"otterstep/internal/bodyrate"
 	"otterstep/internal/conns"
 	"otterstep/internal/core"
 	"otterstep/internal/streaming"
@@ -69,6 +70,15 @@
 // bodyPending reports whether the end of the body has not arrived yet.
 func (m *message) bodyPending() bool { return m.body != nil && m.body.rest != nil }
 
+// arrival describes the client's time for an attempt that streams the body.
+func (m *message) arrival(t turn) bodyrate.Arrival {
+	a := bodyrate.Arrival{Length: m.body.length, Answer: m.timeLeft, Due: func() { t.RequestSent(bodyrate.DueAhead) }}
+	if m.client != nil {
+		a.Unread = m.client.unread
+	}
+	return a
+}
+
 // bodyLength returns the length of the buffered body.
 func (m *message) bodyLength() int {
 	if m.body == nil {
@@ -202,6 +212,9 @@
 	if u.onAttempt != nil {
 		u.onAttempt(m)
 	}
+	if coming {
+		m.body.rest.ExpectAnswer(m.arrival(t))
+	}
 	err = m.write(ctx, c, max(0, time.Until(end))) // less the time that the start and the connect took
 	if coming {
 		m.body.restClaim.Done()
@@ -215,7 +228,7 @@
 		return reply{status: policy.ConnectFailed, bodyConsumed: coming}
 	}
 	if coming {
-		t.RequestSent(m.timeLeft)
+		t.RequestSent(m.body.rest.TimeForAnswer(m.timeLeft))
 	}
 	p, reusable := u.read(ctx, c, m, t)
 	p.bodyConsumed = coming
--- a/internal/web/exchange.go
+++ b/internal/web/exchange.go
@@ -50,6 +50,7 @@
 	clientCtx   context.Context    // net/http's context of the request
 	cancel      context.CancelFunc // ends ctx
 
+	unread     func() int   // bytes of the client's that wait in the system's buffer; nil if that is not known
 	mayHaveRun atomic.Int64 // attempts that can have run, or are running
 
 	mu       sync.Mutex
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -20,8 +20,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"otterstep/internal/bodyrate"
 	"otterstep/internal/conns"
 	"otterstep/internal/copybuffer"
@@ -147,7 +145,7 @@
 			}
 		}
 	}()
-	limited := netutil.LimitListener(f.listener, f.maxConnections())
+	limited := newLimitedListener(f.listener, f.maxConnections())
 	serveErr := make(chan error, 1)
 	go func() {
 		if len(f.opt.Cert) == 0 {
@@ -409,6 +407,9 @@
 	x.body = bodyrate.NewReader(r.Body, control, bodyrate.Limits{
 		BytesPerSecond: f.opt.Limits.BodyRate.Bytes, Grace: x.deadline, Pause: f.opt.Limits.Read.Duration,
 	})
+	if conn := framingOf(r); conn != nil {
+		x.unread = conn.Unread
+	}
 	x.stopBody = func() {
 		x.bodyStopped.Store(true)
 		x.body.Stop()
--- a/internal/web/upload.go
+++ b/internal/web/upload.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"otterstep/internal/bodyrate"
 	"otterstep/internal/core"
 )
 
@@ -37,6 +38,9 @@
 // newUpload starts to read the body for an attempt. The caller must call close.
 func (x *exchange) newUpload(turn core.AttemptHandle, end context.CancelFunc) *upload {
 	stall := x.front.opt.Limits.Stall.Duration
+	x.body.ExpectAnswer(bodyrate.Arrival{
+		Length: x.length, Answer: x.deadline, Unread: x.unread, Due: func() { turn.RequestSent(bodyrate.DueAhead) },
+	})
 	return &upload{exchange: x, turn: turn, end: end, stall: stall, accepted: time.AfterFunc(stall, end)}
 }
 
@@ -50,7 +54,7 @@
 	case errors.Is(err, io.EOF):
 		u.close()
 		u.exchange.clientBodyEnded()
-		u.turn.RequestSent(u.exchange.deadline)
+		u.turn.RequestSent(u.exchange.body.TimeForAnswer(u.exchange.deadline))
 	default:
 		u.close()
 		u.exchange.clientBodyFailed(err, u.end)
