SIP: requests are not sent again to the address of a server that has gone

Cause: retransmissions over UDP go to an address, whatever the list of servers says by then; over TCP a request whose connection had ended went to any connection to the same address.

Fix: each list stops the retransmissions of requests whose server is not listed under their address; their responses are still awaited. A request for an ended connection of a server's is failed as not sent, so that the core tries another server.

--- a/internal/sip/proxy/branch.go
+++ b/internal/sip/proxy/branch.go
@@ -24,6 +24,7 @@
 	text               []byte
 	vias               []message.Field // Vias of the received request
 	to                 Peer
+	server             uint64 // ID of the server that it is for; 0 for a caller
 	machine            transaction.Machine
 	timer              timer
 	attempt            uint64 // the core's attempt that waits for its end; 0 if none
@@ -66,7 +67,7 @@
 func clientKey(method, id string) string { return method + " " + id }
 
 // forwardTo forwards an exchange's request to a peer (RFC 3261 section 16.6). server is the
-// peer's ID in the pool, used in the token if the request may start a dialog.
+// peer's ID in the pool, used in the token if the request may start a dialog; 0 for a caller.
 func (m *Machine) forwardTo(now time.Duration, x *exchange, to Peer, server uint64, attempt uint64) {
 	q := x.request.Clone()
 	hops := q.MaxForwards()
@@ -80,7 +81,7 @@
 		at, param := m.listenAddress(to.Transport)
 		q.Push("record-route", fmt.Sprintf("<sip:%s@%s%s;lr>", m.options.Signer.Sign(claims, q.CallID, q.FromTag), at, param))
 	}
-	b := &branch{exchange: x, request: q, to: to, attempt: attempt, vias: viaFields(x.request)}
+	b := &branch{exchange: x, request: q, to: to, server: server, attempt: attempt, vias: viaFields(x.request)}
 	m.pushVia(b, x.loopHash)
 	if attempt != 0 {
 		m.attempts[attempt] = b
@@ -284,7 +285,7 @@
 		return
 	}
 	b.cancelSent = true
-	c := &branch{request: b.hopRequest(message.Cancel), to: b.to, id: b.id}
+	c := &branch{request: b.hopRequest(message.Cancel), to: b.to, server: b.server, id: b.id}
 	m.startBranch(now, c)
 }
 
@@ -430,7 +431,7 @@
 		}
 		q.Push("route", hop)
 	}
-	late := &branch{request: q, to: b.to}
+	late := &branch{request: q, to: b.to, server: b.server}
 	m.pushVia(late, m.loopHash(q))
 	return late
 }
--- a/internal/sip/proxy/proxy.go
+++ b/internal/sip/proxy/proxy.go
@@ -166,8 +166,17 @@
 }
 
 // SetServers sets the list of the pool's servers, including draining ones. Requests in the
-// dialogs of any other server are answered 481.
-func (m *Machine) SetServers(list map[uint64]Peer) { m.servers, m.hasServerList = list, true }
+// dialogs of any other server are answered 481. Another process may listen at the address of one
+// that has gone, so requests that wait for a response from it are not sent again.
+func (m *Machine) SetServers(list map[uint64]Peer) {
+	m.servers, m.hasServerList = list, true
+	for _, b := range m.branches {
+		if at, listed := list[b.server]; b.server != 0 && (!listed || at.Addr != b.to.Addr) {
+			b.machine.StopRetransmitting()
+			m.setTimer(&b.timer, b.machine.Due())
+		}
+	}
+}
 
 // Drain makes the Machine refuse new requests outside dialogs.
 func (m *Machine) Drain() { m.draining = true }
--- a/internal/sip/proxy/receive.go
+++ b/internal/sip/proxy/receive.go
@@ -236,7 +236,7 @@
 
 // receiveInDialog handles a request inside a dialog, which its token routes.
 func (m *Machine) receiveInDialog(now time.Duration, from Peer, key, loop, user string, q *message.Message) {
-	to, _, code, cause := m.resolveToken(now, user, q)
+	to, server, code, cause := m.resolveToken(now, user, q)
 	switch {
 	case code != 0:
 	case m.closed:
@@ -264,15 +264,16 @@
 	if x.method == message.Invite {
 		m.respondStatus(now, x, 100, 0)
 	}
-	m.forwardTo(now, x, to, 0, 0)
+	m.forwardTo(now, x, to, server, 0)
 }
 
-// resolveToken returns the destination of a request inside a dialog, or the status code and
-// cause of a refusal.
-func (m *Machine) resolveToken(now time.Duration, user string, q *message.Message) (to Peer, toCaller bool, code int, cause string) {
+// resolveToken returns the destination of a request inside a dialog, with the ID of its server or
+// 0 for a caller; or the status code and cause of a refusal.
+func (m *Machine) resolveToken(now time.Duration, user string, q *message.Message) (to Peer, server uint64, code int, cause string) {
 	if user == "" {
-		return Peer{}, false, 481, "no token"
+		return Peer{}, 0, 481, "no token"
 	}
+	toCaller := false
 	wall := m.options.WallTime(now)
 	claims, err := m.options.Signer.Verify(user, q.CallID, q.FromTag, wall)
 	if errors.Is(err, token.ErrForged) && q.ToTag != "" {
@@ -281,21 +282,21 @@
 	}
 	switch {
 	case errors.Is(err, token.ErrExpired):
-		return Peer{}, false, 481, "old token"
+		return Peer{}, 0, 481, "old token"
 	case err != nil:
-		return Peer{}, false, 403, "forged token"
+		return Peer{}, 0, 403, "forged token"
 	case toCaller:
 		c := claims.Caller
-		return Peer{Transport: Transport(c.Transport), Addr: c.Source, Port: c.Port}, true, 0, ""
+		return Peer{Transport: Transport(c.Transport), Addr: c.Source, Port: c.Port}, 0, 0, ""
 	}
 	to, ok := m.servers[claims.Server]
 	switch {
 	case !ok && !m.hasServerList:
-		return Peer{}, false, 503, "no list"
+		return Peer{}, 0, 503, "no list"
 	case !ok:
-		return Peer{}, false, 481, "server gone"
+		return Peer{}, 0, 481, "server gone"
 	}
-	return to, false, 0, ""
+	return to, claims.Server, 0, ""
 }
 
 // forwardAck forwards the ACK to a 2xx, which has no transaction.
--- a/internal/sip/streams.go
+++ b/internal/sip/streams.go
@@ -240,18 +240,22 @@
 }
 
 // send sends a message on its own connection, else on one to the same address, else on a new
-// one. It never blocks.
+// one; to a server on its own connection alone, if it has one. It never blocks.
 func (t *streams) send(to proxy.Peer, id string, text []byte) {
 	f, o := t.front, outgoing{id, text}
 	t.mu.Lock()
 	s := t.byID[to.Conn]
-	if s == nil {
+	if s == nil && (to.Conn == 0 || to.Port != 0) {
 		s = t.byAddr[to.Addr]
 	}
 	t.mu.Unlock()
 	if s != nil && t.queue(s, o) {
 		return
 	}
+	if to.Conn != 0 && to.Port == 0 { // a server's connection has ended: another process may listen at its address
+		f.failed(id, false)
+		return
+	}
 	if to.Port != 0 {
 		to.Addr = netip.AddrPortFrom(to.Addr.Addr(), to.Port)
 	}
--- a/internal/sip/transaction/transaction.go
+++ b/internal/sip/transaction/transaction.go
@@ -242,6 +242,9 @@
 	return Transmit
 }
 
+// StopRetransmitting makes a client transaction wait for responses without sending its request again.
+func (m *Machine) StopRetransmitting() { m.retransmitAt = 0 }
+
 // Abandon tells a client transaction that its result is no longer needed. It stops
 // retransmitting, but still matches responses for 64*T1 (RFC 3261 section 9.1).
 func (m *Machine) Abandon(now time.Duration) {
