--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -136,6 +136,23 @@
 	return bad
 }
 
+// ShareRequestIDs returns which request IDs are in use here or were recently. From then on report is called with each
+// change, on the loop's goroutine, until UnshareRequestIDs.
+func (l *Loop) ShareRequestIDs(ctx context.Context, report func(IDChange)) (c IDChange, err error) {
+	err = l.postAndWait(ctx, func() { c = l.machine.ids.share(l.clock.Now(), report) })
+	return c, err
+}
+
+// LearnRequestIDs applies what another process of the node has reported: requests with its IDs are duplicates here.
+func (l *Loop) LearnRequestIDs(ctx context.Context, c IDChange) error {
+	return l.postAndWait(ctx, func() { l.machine.ids.learn(l.clock.Now(), c) })
+}
+
+// UnshareRequestIDs ends the sharing after the other process has ended.
+func (l *Loop) UnshareRequestIDs() {
+	l.post(func() { l.machine.ids.unshare(l.clock.Now()) })
+}
+
 // postAndWait posts an event and waits until the loop has handled it.
 func (l *Loop) postAndWait(ctx context.Context, event func()) error {
 	done := make(chan struct{})
--- a/internal/core/requestids_test.go
+++ b/internal/core/requestids_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,50 @@
 	}
 }
 
+// Whatever two processes that tell each other do, an ID is in use in one of them at most; one that ended recently in either is
+// refused by both, and all that the other had is forgotten in time once it is gone.
+func TestSharedIDsAreUsedOnce(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		one, other := newRequestIDs(nil), newRequestIDs(nil)
+		now := time.Duration(0)
+		before, _ := one.begin(now, "before")
+		other.learn(now, one.share(now, func(c IDChange) { other.learn(now, c) }))
+		one.learn(now, other.share(now, func(c IDChange) { one.learn(now, c) }))
+		if _, ok := other.begin(now, "before"); ok {
+			t.Fatal("an ID that was in use before the sharing is unknown to the other process")
+		}
+		one.end(now, before)
+		open := map[string]func(){}
+		endedAt := map[string]time.Duration{}
+		for range 2000 {
+			now += time.Duration(rng.IntN(int(one.interval / 50)))
+			set := []*requestIDs{&one, &other}[rng.IntN(2)]
+			id := fmt.Sprint(rng.IntN(100))
+			if end := open[id]; end != nil && rng.IntN(2) == 0 {
+				end()
+				delete(open, id)
+				endedAt[id] = now
+				continue
+			}
+			h, ok := set.begin(now, id)
+			ended, recently := endedAt[id]
+			switch {
+			case ok && open[id] != nil:
+				t.Fatalf("seed %d: %s is in use twice", seed, id)
+			case ok && recently && now-ended <= set.interval:
+				t.Fatalf("seed %d: %s is in use again %v after its end", seed, id, now-ended)
+			case ok:
+				open[id] = func() { set.end(now, h) }
+			}
+		}
+		one.unshare(now)
+		if n := len(one.peer); n != 0 {
+			t.Errorf("%d IDs of a process that is gone are in use", n)
+		}
+	}
+}
+
 // longMessage is a request whose body takes uploadTime, if that is not 0, and whose answer is relayed for relayTime.
 type longMessage struct{ uploadTime, relayTime time.Duration }
 
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"otterstep/internal/cordon"
+	"otterstep/internal/core"
 	"otterstep/internal/lifecycle"
 	"otterstep/policy"
 )
@@ -45,8 +46,10 @@
 	Conns     *ConnCounts             `json:"holds,omitempty"`
 	// Memory is what the predecessor's decision module has learnt, sent before its Ack of Serving.
 	Memory *policy.Memory `json:"memory,omitempty"`
-	Seq    uint64         `json:"seq,omitempty"`
-	Ack    uint64         `json:"ack,omitempty"`
+	// RequestIDs are in use, or no longer in use, in the process that sends the message.
+	RequestIDs *core.IDChange `json:"ids,omitempty"`
+	Seq        uint64         `json:"seq,omitempty"`
+	Ack        uint64         `json:"ack,omitempty"`
 }
 
 // encode returns the message as one line.
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -156,6 +156,7 @@
 		s.mu.Lock()
 		s.link, s.peerConns = nil, handover.ConnCounts{}
 		s.mu.Unlock()
+		s.ops.loop.UnshareRequestIDs()
 		s.transition(handover.EventPeerGone)
 		s.log.Info("the other process is gone", "why", err)
 	}()
@@ -186,9 +187,17 @@
 		if err := s.ops.loop.Restore(context.Background(), *m.Memory); err != nil {
 			s.log.Error("the predecessor's learnt state can't be used; this process starts without it", "err", err)
 		}
+	case m.RequestIDs != nil:
+		_ = s.ops.loop.LearnRequestIDs(context.Background(), *m.RequestIDs) // fails only if the loop has stopped
 	case m.Serving:
 		s.transition(handover.EventSuccessorServing)
 		s.sendMemory()
+		s.mu.Lock()
+		link := s.link
+		s.mu.Unlock()
+		if link != nil { // before the successor may accept
+			s.shareIDs(link)
+		}
 	}
 	return nil // messages of a newer version are ignored
 }
@@ -234,6 +243,12 @@
 		if err := s.sendConfirmed(confirmCtx, handover.Message{Serving: true}); err != nil {
 			s.log.Error("the predecessor does not confirm that it has stopped accepting; both processes accept", "err", err)
 		}
+		s.mu.Lock()
+		link := s.link
+		s.mu.Unlock()
+		if link != nil {
+			s.shareIDs(link)
+		}
 		s.transition(handover.EventServing)
 	}
 	if s.path == "" {
