A server out by hand or by the fleet is out at every front before the yes

Cause: calls and bans were told to the platform's loop alone, while SIP and each [[web]] have loops of their own.

Fix: operations applies each call to every front before the yes, by id where servers come from discovery and by name where they stand in the file.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,6 +159,10 @@
 		return err
 	}
 	defer func() { stop(); webFronts.Wait() }()
+	if sipFront != nil {
+		ops.addFront(sipFront, sipFront.ServerNames())
+	}
+	ops.addFront(webFronts, webFronts.ServerNames())
 	go l.Run(background)
 	var handovers *handoverManager // nil if the node opened its own listening socket
 	if pausable, ok := listener.(*handover.PausableListener); ok {
--- a/internal/node/operations.go
+++ b/internal/node/operations.go
@@ -14,13 +14,16 @@
 	"otterstep/internal/handover"
 	"otterstep/internal/lifecycle"
 	"otterstep/internal/operatorapi"
+	"otterstep/policy"
 )
 
 // operations carries out operators' requests.
 type operations struct {
-	life *lifecycle.Lifecycle
-	loop *core.Loop
-	log  *slog.Logger
+	life   *lifecycle.Lifecycle
+	loop   *core.Loop // of the platform's front
+	others []cordoner // further fronts with pools of their own
+	names  []string   // of the servers that these fronts have from their configuration
+	log    *slog.Logger
 
 	// During a handover, forward sends a call to the other process and waits until it is in force there; persist
 	// stores the calls for a later process. Both are nil if the node opened its own listening socket.
@@ -37,6 +40,32 @@
 	return &operations{life: l, loop: loop, log: log, cordons: cordon.New(), unapplied: map[string]struct{}{}}
 }
 
+// cordoner is a front that takes servers out of service. discovered is the server's ID if discovery lists it; a front whose
+// servers are in its configuration goes by the name.
+type cordoner interface {
+	Cordon(ctx context.Context, name string, discovered policy.ServerID, out bool, called time.Duration) error
+}
+
+// addFront adds a front, before the first list comes, with the names of the servers in its configuration.
+func (o *operations) addFront(c cordoner, names []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.others = append(o.others, c)
+	o.names = append(o.names, names...)
+	o.cordons.UpdateList(false, names)
+}
+
+// apply takes a server out of service at all fronts, or puts it back. It is in force when apply returns. mu must be
+// held.
+func (o *operations) apply(ctx context.Context, name string, out bool, called time.Duration) error {
+	id := serverID(name)
+	errs := []error{o.loop.Cordon(ctx, id, out, called)}
+	for _, c := range o.others {
+		errs = append(errs, c.Cordon(ctx, name, id, out, called))
+	}
+	return errors.Join(errs...)
+}
+
 var errNotServing = errors.New("no list of servers is in place yet")
 
 // Health implements operatorapi.Node.
@@ -95,7 +124,7 @@
 		return e, fmt.Errorf("%w: server %q: %w", operatorapi.ErrRefused, id, err)
 	}
 	// A repeated call is carried out again: the previous one may have failed after changing the set.
-	if err := o.loop.Cordon(ctx, serverID(id), o.cordons.IsOut(id), o.loop.Clock().Now()); err != nil {
+	if err := o.apply(ctx, id, o.cordons.IsOut(id), o.loop.Clock().Now()); err != nil {
 		return e, fmt.Errorf("server %q: %w", id, err)
 	}
 	if changed {
@@ -126,7 +155,7 @@
 		o.log.Info("manual cordon changed, received from another process", "uid", e.ID, "out", e.Out, "stamp", e.Stamp)
 		calledAt := o.loop.Clock().FromUnixMs(e.At.UnixMilli())
 		for _, out := range []bool{true, o.cordons.IsOut(e.ID)} { // cordon first: the loop ignores an uncordon of a server that is not cordoned
-			if err := o.loop.Cordon(context.Background(), serverID(e.ID), out, calledAt); err != nil {
+			if err := o.apply(context.Background(), e.ID, out, calledAt); err != nil {
 				o.log.Error("a manual cordon or uncordon is not in force here", "uid", e.ID, "err", err)
 			}
 		}
@@ -147,7 +176,7 @@
 	}
 	now := o.loop.Clock().Now()
 	for id := range o.unapplied { // including changes of earlier bans that failed because the loop was busy
-		if err := o.loop.Cordon(ctx, serverID(id), o.cordons.IsOut(id), now); err != nil {
+		if err := o.apply(ctx, id, o.cordons.IsOut(id), now); err != nil {
 			return fmt.Errorf("server %q: %w", id, err)
 		}
 		delete(o.unapplied, id)
@@ -207,7 +236,7 @@
 func (o *operations) listed(all bool, targets []target) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	ids := make([]string, 0, len(targets))
+	ids := slices.Clone(o.names)
 	for _, t := range targets {
 		if t.State == stateTerminated {
 			o.cordons.RemoveFromList(t.UID)
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -41,10 +41,32 @@
 // its name and address.
 func Entries(all []Server) (entries []policy.Entry, addrs []string) {
 	for _, s := range all {
-		h := fnv.New64a()
-		_, _ = io.WriteString(h, s.Name+"\x00"+s.Address) // writing to a hash never fails
-		entries = append(entries, policy.Entry{Server: policy.ServerID(h.Sum64()), Zone: s.Zone, State: policy.Ready, Weight: s.Weight})
+		entries = append(entries, policy.Entry{Server: s.id(), Zone: s.Zone, State: policy.Ready, Weight: s.Weight})
 		addrs = append(addrs, s.Address)
 	}
 	return entries, addrs
 }
+
+func (s Server) id() policy.ServerID {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, s.Name+"\x00"+s.Address) // writing to a hash never fails
+	return policy.ServerID(h.Sum64())
+}
+
+// IDs returns the IDs of the servers with a name.
+func IDs(all []Server, name string) (ids []policy.ServerID) {
+	for _, s := range all {
+		if s.Name == name {
+			ids = append(ids, s.id())
+		}
+	}
+	return ids
+}
+
+// Names returns the names of all servers.
+func Names(all []Server) (names []string) {
+	for _, s := range all {
+		names = append(names, s.Name)
+	}
+	return names
+}
--- a/internal/sip/front.go
+++ b/internal/sip/front.go
@@ -267,6 +267,24 @@
 	f.loop.UpdateServers(kind, entries, addrs)
 }
 
+// Cordon takes a server out of service for new dialogs, or puts it back; see core.Loop.Cordon. discovered is its ID if
+// the servers come from discovery's list.
+func (f *Front) Cordon(ctx context.Context, name string, discovered policy.ServerID, out bool, called time.Duration) error {
+	ids := serverlist.IDs(f.config.Servers, name)
+	if f.config.Model != "" {
+		ids = []policy.ServerID{discovered}
+	}
+	for _, id := range ids {
+		if err := f.loop.Cordon(ctx, id, out, called); err != nil {
+			return fmt.Errorf("sip: %w", err)
+		}
+	}
+	return nil
+}
+
+// ServerNames returns the names of the servers in the configuration.
+func (f *Front) ServerNames() []string { return serverlist.Names(f.config.Servers) }
+
 // peer parses a server's address.
 func (f *Front) peer(addr string) (proxy.Peer, error) {
 	at, err := netip.ParseAddrPort(addr)
--- a/internal/web/fronts.go
+++ b/internal/web/fronts.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"time"
 
 	"otterstep/internal/core"
+	"otterstep/internal/serverlist"
 	"otterstep/policy"
 )
 
@@ -51,6 +53,26 @@
 	all.Wait()
 }
 
+// Cordon takes the servers with a name out of service at all fronts, or puts them back; see core.Loop.Cordon.
+func (s *Fronts) Cordon(ctx context.Context, name string, _ policy.ServerID, out bool, called time.Duration) error {
+	for _, f := range s.all {
+		for _, id := range serverlist.IDs(f.opt.Servers, name) {
+			if err := f.loop.Cordon(ctx, id, out, called); err != nil {
+				return fmt.Errorf("web %s: %w", f.opt.Name, err)
+			}
+		}
+	}
+	return nil
+}
+
+// ServerNames returns the names of the servers of all fronts.
+func (s *Fronts) ServerNames() (names []string) {
+	for _, f := range s.all {
+		names = append(names, serverlist.Names(f.opt.Servers)...)
+	}
+	return names
+}
+
 // Wait blocks until all fronts have stopped.
 func (s *Fronts) Wait() { s.running.Wait() }
 
