The older process of an upgrade takes its path back from a killed successor

Cause: a successor that listens takes the path of the handover socket; once it is killed the path holds a dead socket, and the next process took that for none.

Fix: the process that a successor leaves behind listens at the path again if it is not its own any more; a dead socket is waited for and told apart.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -256,7 +256,7 @@
 		t.Fatal(err)
 	}
 	l.Close()
-	if l, err := Dial(dead, state("n1")); l != nil || err != nil {
+	if l, err := Dial(dead, state("n1")); l != nil || !errors.Is(err, ErrDeadSocket) {
 		t.Errorf("a socket nobody listens on: %v, %v", l, err)
 	}
 	if l, err = unixsock.Listen(dead); err != nil { // the stale socket is replaced
@@ -294,7 +294,7 @@
 	if err := os.WriteFile(file, nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if l, err := Dial(file, state("n1")); l != nil || err != nil {
+	if l, err := Dial(file, state("n1")); l != nil || !errors.Is(err, ErrDeadSocket) {
 		t.Errorf("a regular file: %v, %v", l, err)
 	}
 }
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io/fs"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -165,13 +166,29 @@
 	}
 }
 
-// Dial connects to the process that already serves this node. If there is none (no file at path, or a socket that
-// nobody listens on) it returns nil and no error.
+// ErrDeadSocket means that a process listened for its successor and has ended, and that no other one took its place.
+var ErrDeadSocket = errors.New("handover: nobody listens at the socket any more")
+
+const (
+	// takeBackTime is how long Dial waits for a process to take back the path of its successor that was killed.
+	takeBackTime     = 200 * time.Millisecond
+	takeBackInterval = 10 * time.Millisecond
+)
+
+// Dial connects to the process that already serves this node. If there is no file at path, as no process has served it
+// yet, it returns nil and no error. If there is a socket at which nobody listens, it waits for takeBackTime and then
+// returns ErrDeadSocket.
 func Dial(path string, own State) (*Link, error) {
 	conn, err := net.DialTimeout("unix", path, dialTimeout)
+	for end := time.Now().Add(takeBackTime); err != nil && refused(err) && time.Now().Before(end); {
+		time.Sleep(takeBackInterval)
+		conn, err = net.DialTimeout("unix", path, dialTimeout)
+	}
 	switch {
-	case err != nil && (errors.Is(err, fs.ErrNotExist) || refused(err)):
+	case err != nil && errors.Is(err, fs.ErrNotExist):
 		return nil, nil
+	case err != nil && refused(err):
+		return nil, ErrDeadSocket
 	case err != nil:
 		return nil, fmt.Errorf("handover: %w", err)
 	}
@@ -179,29 +196,81 @@
 }
 
 // Listener accepts connections of successors. It is made by Listen and ended by Serve or Close.
-type Listener struct{ listener *net.UnixListener }
+type Listener struct {
+	path string
+
+	mu       sync.Mutex
+	listener *net.UnixListener
+	file     os.FileInfo // of the socket
+	closed   bool
+}
 
 // Listen takes path over from its previous owner. A successor that connects from then on waits for Serve.
 func Listen(path string) (*Listener, error) {
-	l, err := unixsock.Listen(path)
+	p := &Listener{path: path}
+	if err := p.open(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// open listens at the path.
+func (p *Listener) open() error {
+	l, err := unixsock.Listen(p.path)
 	if err != nil {
-		return nil, fmt.Errorf("handover: %w", err)
+		return fmt.Errorf("handover: %w", err)
+	}
+	file, err := os.Stat(p.path)
+	if err != nil {
+		l.Close()
+		return fmt.Errorf("handover: %w", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		l.Close()
+		return net.ErrClosed
 	}
-	return &Listener{l}, nil
+	if p.listener != nil {
+		p.listener.Close()
+	}
+	p.listener, p.file = l, file
+	return nil
+}
+
+// takeBack listens at the path again if a successor has taken it. The successor has ended.
+func (p *Listener) takeBack() error {
+	file, err := os.Stat(p.path)
+	if err == nil && os.SameFile(file, p.file) {
+		return nil
+	}
+	return p.open()
 }
 
 // Close closes the listener.
-func (p *Listener) Close() error { return p.listener.Close() }
+func (p *Listener) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	return p.listener.Close()
+}
+
+// accept waits for the next connection.
+func (p *Listener) accept() (net.Conn, error) {
+	p.mu.Lock()
+	l := p.listener
+	p.mu.Unlock()
+	return l.Accept()
+}
 
 // Serve accepts successors, one at a time, until ctx ends. state returns the state sent in the first message;
-// connected is called with each successor's link and returns once the successor is gone; failed is called for each
-// failed handshake.
+// connected is called with each successor's link and returns once the successor is gone, whose path is then taken back;
+// failed is called for each failed handshake.
 func (p *Listener) Serve(ctx context.Context, state func() State, connected func(context.Context, *Link), failed func(error)) error {
-	l := p.listener
-	defer l.Close()
-	defer context.AfterFunc(ctx, func() { l.Close() })()
+	defer p.Close()
+	defer context.AfterFunc(ctx, func() { p.Close() })()
 	for {
-		conn, err := l.Accept()
+		conn, err := p.accept()
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
@@ -214,6 +283,12 @@
 			continue
 		}
 		connected(ctx, link)
+		if err := p.takeBack(); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
 	}
 }
 
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -67,6 +67,10 @@
 	s.loadCalls(base + ".hand")
 	defer s.persist() // a damaged file was moved aside, and the other process may have sent more
 	link, err := handover.Dial(s.path, s.state())
+	if errors.Is(err, handover.ErrDeadSocket) {
+		s.log.Warn("no handover: the process that listened for this one has ended", "path", s.path)
+		return
+	}
 	if err != nil {
 		s.log.Error("no handover: can't connect to the serving process; both act independently", "err", err)
 		return
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -358,6 +358,54 @@
 	next.end()
 }
 
+// Guards against two processes that act on their own: whenever a successor is killed, the next one finds the older process,
+// and operators' calls at its door are in force in both.
+func TestOlderProcessIsFoundBehindAKilledSuccessor(t *testing.T) {
+	t.Parallel()
+	for step, at := range map[string]int{"connected": 0, "serving": 1, "listening": 2} {
+		t.Run(step, func(t *testing.T) {
+			t.Parallel()
+			p := newPlatform(t, newRegistry(t, listedTarget(newServer(t, respondWith(ok("x"), true)), "s1"), listedTarget(newServer(t, respondWith(ok("y"), true)), "s2")))
+			old := p.start()
+			old.awaitReady()
+			path := filepath.Join(p.cfg.Temp, "otterstep-n0.sock")
+			successor, err := handover.Dial(path, handover.State{Name: "n0"})
+			if err != nil || successor == nil {
+				t.Fatalf("%v, %v", successor, err)
+			}
+			ctx, kill := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- successor.Run(ctx, func(handover.Message) error { return nil }) }()
+			waitFor(t, "connected successor in the log", func() bool { return strings.Contains(old.log.String(), "role=attended") })
+			if at >= 1 {
+				if err := successor.SendConfirmed(ctx, handover.Message{Serving: true}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if at >= 2 {
+				l, err := handover.Listen(path)
+				if err != nil {
+					t.Fatal(err)
+				}
+				l.Close()
+			}
+			kill()
+			<-ended
+			next := p.start()
+			next.awaitReady()
+			if log := next.log.String(); !strings.Contains(log, "taking over") {
+				t.Errorf("the next process did not find the older one: %s", log)
+			}
+			next.mustPost("/admin/cordon/s1")
+			if log := old.log.String(); !strings.Contains(log, "manual cordon changed, received from another process") {
+				t.Errorf("a call at the newer process is not in force in the older one: %s", log)
+			}
+			old.end()
+			next.end()
+		})
+	}
+}
+
 // An unreadable handover file in $TMPDIR is logged and moved aside.
 func TestDamagedCallsFileIsMovedAside(t *testing.T) {
 	t.Parallel()
