--- a/cmd/otterlab/hostile.go
+++ b/cmd/otterlab/hostile.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -23,6 +22,9 @@
 		Use: "hostile", Short: "Measure one node's memory and its usual clients while others behave badly; exit 1 if a bound broke",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if err := o.Check(); err != nil {
+				return err
+			}
 			own, err := os.Executable()
 			if err != nil {
 				return err
@@ -32,7 +34,7 @@
 				return err
 			}
 			defer os.RemoveAll(o.Dir)
-			return runHostile(c.Context(), o, only, front, c.OutOrStdout().(*os.File))
+			return runHostile(c.Context(), o, only, hostile.FrontKind(front), c.OutOrStdout())
 		},
 	}
 	f := c.Flags()
@@ -45,16 +47,18 @@
 	return c
 }
 
-func runHostile(ctx context.Context, o hostile.Options, only, front string, out *os.File) error {
+// runHostile plays the loads whose names contain only, at one front or at all, and prints a row for each.
+func runHostile(ctx context.Context, o hostile.Options, only string, front hostile.FrontKind, out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	defer w.Flush()
 	fmt.Fprintln(w, "LOAD\tFRONT\tPEAK MB\tSENT\tSERVED\tOTHER\tLATE\tP50\tP99\t")
-	broken := 0
+	played, broken := 0, 0
 	for _, load := range hostile.Loads() {
 		for _, kind := range load.Fronts {
-			if !strings.Contains(load.Name, only) || front != "" && string(kind) != front || !slices.Contains(load.Fronts, kind) {
+			if !strings.Contains(load.Name, only) || front != "" && kind != front {
 				continue
 			}
+			played++
 			r, err := hostile.Run(ctx, o, kind, load)
 			if err != nil {
 				return err
@@ -78,8 +82,11 @@
 			w.Flush()
 		}
 	}
-	if broken > 0 {
-		return errors.New("bounds broken: " + fmt.Sprint(broken))
+	switch {
+	case played == 0:
+		return fmt.Errorf("no load contains %q at front %q", only, front)
+	case broken > 0:
+		return fmt.Errorf("%d of %d loads broke a bound", broken, played)
 	}
 	return nil
 }
--- a/cmd/otterstep/main.go
+++ b/cmd/otterstep/main.go
@@ -51,8 +51,14 @@
 	}
 	cfg, err := node.LoadConfig(path)
 	op, operatorErr := operator.Load(operatorFile)
-	if err := errors.Join(err, operatorErr); err != nil || check {
+	if err := errors.Join(err, operatorErr); err != nil {
 		return err
 	}
+	if check {
+		if warning := cfg.MemoryWarning(1 + len(op.Web)); warning != "" {
+			fmt.Fprintln(os.Stderr, "otterstep: warning:", warning)
+		}
+		return nil
+	}
 	return node.Run(ctx, cfg, op, node.Reloads{Path: path, Signals: hangups}, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 }
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"fmt"
+
 	"otterstep/internal/framing"
 	"otterstep/internal/membudget"
 	"otterstep/internal/web"
@@ -88,6 +90,20 @@
 	return framing.Limits{HeadBytes: maxHead, Fields: maxHeadFields, RequestBytes: requestBytes, Heads: m.heads, Requests: m.requests}
 }
 
+// MemoryWarning says that the memory of a configuration can't carry the connections of clients that its descriptors allow, or
+// nothing. fronts is the number of fronts for HTTP.
+func (c Config) MemoryWarning(fronts int) string {
+	if c.MemoryMB <= 0 {
+		return ""
+	}
+	_, clients := splitDescriptors(c.Sockets - reservedDescriptors)
+	m := newClientMemory(c.MemoryMB, clients, fronts)
+	if m.maxConnections == clients {
+		return ""
+	}
+	return fmt.Sprintf("limits: memory_mb = %d carries %d connections of clients, sockets = %d would allow %d", c.MemoryMB, m.maxConnections, c.Sockets, clients)
+}
+
 // web returns the part of the fronts for ordinary HTTP.
 func (m *clientMemory) web() web.Memory {
 	return web.Memory{
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -34,6 +34,18 @@
 	}
 }
 
+// -check warns where the memory can't carry the descriptors, with both figures: (0.9 x 32 - 12) MB x 2/3 x 1/2 hold 477 x 12 KiB.
+func TestMemoryWarning(t *testing.T) {
+	for _, c := range []struct {
+		mb, sockets int
+		want        string
+	}{{32, 1024, "memory_mb = 32 carries 477 connections of clients, sockets = 1024 would allow 555"}, {192, 1024, ""}, {32, 256, ""}, {0, 100_000, ""}} {
+		if got := (Config{MemoryMB: c.mb, Sockets: c.sockets}).MemoryWarning(1); !strings.Contains(got, c.want) || got != "" && c.want == "" {
+			t.Errorf("%d MB, %d descriptors: %q", c.mb, c.sockets, got)
+		}
+	}
+}
+
 // Guards against heads that make net/http hold many times their size: one with too many fields is answered 431 with the
 // limit, whether or not it ends, and the request before it on the connection is served.
 func TestHeadsOfManyFields(t *testing.T) {
--- a/internal/standin/hostile/hostile.go
+++ b/internal/standin/hostile/hostile.go
@@ -37,6 +37,21 @@
 	Time     time.Duration // of each load
 }
 
+// Check reports the first option that is out of range.
+func (o Options) Check() error {
+	switch {
+	case o.MemoryMB < 1:
+		return fmt.Errorf("memory of %d MB", o.MemoryMB)
+	case o.Sockets < 1:
+		return fmt.Errorf("%d descriptors", o.Sockets)
+	case o.Cores < 1 || o.Cores > runtime.NumCPU():
+		return fmt.Errorf("%d cores, this machine has %d", o.Cores, runtime.NumCPU())
+	case o.Time <= 0:
+		return fmt.Errorf("a time of %v", o.Time)
+	}
+	return nil
+}
+
 // Result is what one load did to a node.
 type Result struct {
 	Load      string
--- a/internal/web/memory.go
+++ b/internal/web/memory.go
@@ -34,7 +34,8 @@
 	return most
 }
 
-// requestLimits returns the limits of requests over HTTP/1. A head is there twice, as it came and as it is sent.
+// requestLimits returns the limits of requests over HTTP/1. A request costs a quarter of the limit for a head more, as its
+// head is there twice: as it came and as it is sent.
 func (f *Front) requestLimits() framing.Limits {
 	l := f.opt.Limits
 	return framing.Limits{
