[[web]]: resting connections give way to new ones at the limit

Cause: at limits.connections the front stopped accepting, and nothing closed connections that rest.

Fix: it goes on accepting; the connection that has rested longest, 2 s at least, is interrupted and read once more, or the new one is closed unread. The memory for connections is one account for all fronts; it was divided evenly before, which left a [[web]] 238 at 32 MB.

--- a/cmd/otterstep/main.go
+++ b/cmd/otterstep/main.go
@@ -55,7 +55,7 @@
 		return err
 	}
 	if check {
-		if warning := cfg.MemoryWarning(1 + len(op.Web)); warning != "" {
+		if warning := cfg.MemoryWarning(); warning != "" {
 			fmt.Fprintln(os.Stderr, "otterstep: warning:", warning)
 		}
 		return nil
--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -2,7 +2,10 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"net"
+	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,7 +19,8 @@
 	Requests *Reader
 	TLS      *tls.ConnectionState // of the TLS connection that Conn reads from; nil for plain text
 
-	isHTTP2 bool // its memory is reserved
+	isHTTP2     bool        // its memory is reserved
+	interrupted atomic.Bool // see Interrupt
 }
 
 // http2Bytes is what net/http holds for a connection of HTTP/2 beside what one of HTTP/1 takes.
@@ -24,12 +28,38 @@
 
 // NewConn returns c with a Reader of its own.
 func NewConn(c net.Conn, limits Limits) *Conn {
-	paced := &connpace.Conn{Conn: c}
-	requests := NewReader(paced, limits)
+	conn := &Conn{Conn: &connpace.Conn{Conn: c}}
+	conn.Requests = NewReader(readerFunc(conn.readRaw), limits)
 	if limits.HeadTime > 0 {
-		requests.HeadStarted = func() { _ = c.SetReadDeadline(time.Now().Add(limits.HeadTime)) } // a broken connection shows in the read
+		conn.Requests.HeadStarted = func() { _ = c.SetReadDeadline(time.Now().Add(limits.HeadTime)) } // a broken connection shows in the read
 	}
-	return &Conn{Conn: paced, Requests: requests}
+	return conn
+}
+
+// readerFunc is a function as an io.Reader.
+type readerFunc func([]byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
+
+// Interrupt ends the wait for the next request, so that net/http closes the connection. A request that has arrived by
+// then is read all the same.
+func (c *Conn) Interrupt() {
+	c.interrupted.Store(true)
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // a broken connection ends by itself
+}
+
+// lastLook is how long an interrupted connection is read for once more.
+const lastLook = time.Millisecond
+
+// readRaw reads from the connection, and once more where Interrupt has ended the wait.
+func (c *Conn) readRaw(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.interrupted.Swap(false) {
+		return n, err
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lastLook)) // a broken connection shows in the read
+	return c.Conn.Read(b)
 }
 
 // Read implements net.Conn.
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -34,6 +34,7 @@
 
 	socket    syscall.RawConn    // nil if the connection has none
 	readAhead *readAheadConn     // the same as Conn
+	release   func()             // returns the connection's memory
 	cancel    context.CancelFunc // cancels the context of the connection's requests; nil if there is none
 }
 
@@ -72,6 +73,9 @@
 // Close implements net.Conn.
 func (c *client) Close() error {
 	c.requests.Close()
+	if c.release != nil {
+		defer c.release()
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -12,6 +12,7 @@
 	"otterstep/internal/connpace"
 	"otterstep/internal/framing"
 	"otterstep/internal/lifecycle"
+	"otterstep/internal/membudget"
 	"otterstep/internal/operator"
 	"otterstep/internal/writelimit"
 )
@@ -41,9 +42,10 @@
 // many requests are open, further requests are refused immediately. More than most+spare
 // connections are never accepted.
 type clients struct {
-	limit, spare   int               // under mu
-	maxConnections int               // that the memory has room for
-	writes         writelimit.Limits // of writes to clients
+	limit, spare   int                // under mu
+	maxConnections int                // that the memory has room for
+	connections    *membudget.Account // shared by all fronts
+	writes         writelimit.Limits  // of writes to clients
 	requests       framing.Limits
 
 	mu      sync.Mutex
@@ -55,7 +57,7 @@
 
 func newClients(descriptors int, memory *clientMemory) *clients {
 	g := &clients{
-		conns: map[*client]struct{}{}, maxConnections: memory.connectionsPerFront(),
+		conns: map[*client]struct{}{}, maxConnections: memory.maxConnections, connections: memory.connections,
 		writes: writeLimits(operator.DefaultMinReadRate), requests: memory.requestLimits(),
 	}
 	g.divide(descriptors)
@@ -107,8 +109,15 @@
 	if err != nil {
 		return nil, err
 	}
+	for !l.group.connections.Reserve(connectionBytes) { // another front has taken the room: the connection is closed unread
+		conn.Close()
+		if conn, err = l.Listener.Accept(); err != nil {
+			return nil, err
+		}
+	}
 	ahead := &readAheadConn{Conn: writelimit.NewConn(conn, l.group.writes), memory: l.group.requests.Heads}
 	c := l.group.newClient(ahead)
+	c.release = sync.OnceFunc(func() { l.group.connections.Release(connectionBytes) })
 	c.readAhead = ahead
 	if s, ok := conn.(syscall.Conn); ok {
 		c.socket, _ = s.SyscallConn() // nil on an error, which disables the disconnect check
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -186,7 +186,7 @@
 // Guards against requests lost to eviction: a recently used connection is not evicted, and a
 // request that has arrived by the time of the eviction is read rather than cut off.
 func TestDataUndoesEviction(t *testing.T) {
-	g := newClients(1, newClientMemory(0, 1, 1))
+	g := newClients(1, newClientMemory(0, 1))
 	add := func() (*client, net.Conn) {
 		ours, theirs := net.Pipe()
 		t.Cleanup(func() { ours.Close(); theirs.Close() })
@@ -232,7 +232,7 @@
 // Guards against requests lost at the end of a drain: idle connections are evicted, but one on
 // which a request has arrived by then stays open to answer it.
 func TestDataUndoesEvictionAtDrain(t *testing.T) {
-	g := newClients(8, newClientMemory(0, 8, 1))
+	g := newClients(8, newClientMemory(0, 8))
 	var conns [2]*client
 	var peers [2]net.Conn
 	for i := range conns {
@@ -259,7 +259,7 @@
 // active state. net/http takes an interrupted read for a disconnect, so the request would get
 // no answer.
 func TestEvictionRacingWithRequest(t *testing.T) {
-	g := newClients(8, newClientMemory(0, 8, 1))
+	g := newClients(8, newClientMemory(0, 8))
 	near, far := net.Pipe()
 	defer near.Close()
 	defer far.Close()
@@ -303,7 +303,7 @@
 // Guards the memory limit: the total of all bodies is limited by their declared lengths, which
 // are reserved before any of a body is read.
 func TestBodyBudgetIsReservedBeforeReading(t *testing.T) {
-	memory := newClientMemory(0, 8, 1)
+	memory := newClientMemory(0, 8)
 	memory.bodies = membudget.New(10<<10).Account("bodies", 1)
 	f := newFront(idle(t), nil, wire.Site{Classes: []string{"book"}}, newClients(8, memory), memory, new(lifecycle.Lifecycle), false)
 	f.site.Settings.Classes = siteOf(t, settings).Settings.Classes[2:]
--- a/internal/node/descriptors_test.go
+++ b/internal/node/descriptors_test.go
@@ -103,7 +103,7 @@
 func TestClientConnectionLimit(t *testing.T) {
 	t.Parallel()
 	const most = 16
-	g := newClients(most, newClientMemory(0, most, 1))
+	g := newClients(most, newClientMemory(0, most))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/disconnect_test.go
+++ b/internal/node/disconnect_test.go
@@ -53,8 +53,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := newClients(512, newClientMemory(0, 512, 1))
-	f := newFront(l, up, site, g, newClientMemory(0, 512, 1), new(lifecycle.Lifecycle), false)
+	g := newClients(512, newClientMemory(0, 512))
+	f := newFront(l, up, site, g, newClientMemory(0, 512), new(lifecycle.Lifecycle), false)
 	s := f.server(quiet())
 	t.Cleanup(func() { s.Close(); listener.Close() })
 	return &fixture{listener.Addr().String(), l, f, s}, func() { go func() { _ = s.Serve(g.listener(listener)) }() }
--- a/internal/node/many_slow_bodies_test.go
+++ b/internal/node/many_slow_bodies_test.go
@@ -22,7 +22,7 @@
 		part     = 256 << 10
 	)
 	_, descriptors := splitDescriptors(sockets - reservedDescriptors)
-	most := newClients(descriptors, newClientMemory(0, descriptors, 1)).limit
+	most := newClients(descriptors, newClientMemory(0, descriptors)).limit
 	l, err := elapse.Listen()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -45,7 +45,8 @@
 type clientMemory struct {
 	mb             int // the node's limit
 	maxConnections int
-	fronts         int // that share the connections' part
+
+	connections *membudget.Account // of all fronts for HTTP, in a budget of their own
 
 	budget   *membudget.Budget
 	heads    *membudget.Account // incomplete heads
@@ -55,15 +56,16 @@
 	calls    *membudget.Account // SIP's requests, and datagrams that wait
 }
 
-// newClientMemory divides the memory of a node with a limit of mb among its HTTP fronts, which have so many descriptors
-// for their clients.
-func newClientMemory(mb, descriptors, fronts int) *clientMemory {
+// newClientMemory divides the memory of a node with a limit of mb, whose fronts for HTTP have so many descriptors for their
+// clients.
+func newClientMemory(mb, descriptors int) *clientMemory {
 	if mb <= 0 {
 		mb = unlimitedMB
 	}
-	m := &clientMemory{mb: mb, fronts: fronts}
+	m := &clientMemory{mb: mb}
 	all := clientPart * float64(memoryLimit(mb))
 	m.maxConnections = min(descriptors, int(connectionPart*all/connectionBytes))
+	m.connections = membudget.New(int64(m.maxConnections)*connectionBytes).Account("connections", 1)
 	m.budget = membudget.New(m.shared(1))
 	m.heads = m.budget.Account("heads", 0.25)
 	m.requests = m.budget.Account("requests", 1)
@@ -82,22 +84,19 @@
 // setPart sets the part of the node's memory that this process has, of two that act as one node.
 func (m *clientMemory) setPart(part float64) { m.budget.SetLimit(m.shared(part)) }
 
-// connectionsPerFront returns how many connections of clients each front can have.
-func (m *clientMemory) connectionsPerFront() int { return max(1, m.maxConnections/m.fronts) }
-
 // requestLimits returns the limits of requests at the platform's front.
 func (m *clientMemory) requestLimits() framing.Limits {
 	return framing.Limits{HeadBytes: maxHead, Fields: maxHeadFields, RequestBytes: requestBytes, Heads: m.heads, Requests: m.requests}
 }
 
 // MemoryWarning says that the memory of a configuration can't carry the connections of clients that its descriptors allow, or
-// nothing. fronts is the number of fronts for HTTP.
-func (c Config) MemoryWarning(fronts int) string {
+// nothing.
+func (c Config) MemoryWarning() string {
 	if c.MemoryMB <= 0 {
 		return ""
 	}
 	_, clients := splitDescriptors(c.Sockets - reservedDescriptors)
-	m := newClientMemory(c.MemoryMB, clients, fronts)
+	m := newClientMemory(c.MemoryMB, clients)
 	if m.maxConnections == clients {
 		return ""
 	}
@@ -107,6 +106,6 @@
 // web returns the part of the fronts for ordinary HTTP.
 func (m *clientMemory) web() web.Memory {
 	return web.Memory{
-		Connections: m.connectionsPerFront(), Heads: m.heads, Requests: m.requests, Bodies: m.bodies, Buffers: m.buffers,
+		MaxConnections: m.maxConnections, ConnectionBytes: connectionBytes, Connections: m.connections, Heads: m.heads, Requests: m.requests, Bodies: m.bodies, Buffers: m.buffers,
 	}
 }
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -16,19 +16,17 @@
 )
 
 // The parts of the memory sum up to less than the limit at every size that the pages name, with a tenth to spare, and with
-// any number of descriptors and fronts.
+// any number of descriptors.
 func TestClientMemoryFitsIntoTheLimit(t *testing.T) {
 	for _, mb := range []int{32, 64, 96, 192, 2048} {
 		for _, descriptors := range []int{64, 256, 1024, 100_000} {
-			for fronts := 1; fronts <= 3; fronts++ {
-				m := newClientMemory(mb, descriptors, fronts)
-				held := m.shared(1) + int64(fronts*m.connectionsPerFront())*connectionBytes
-				if limit := float64(int64(mb) << 20); float64(memoryLimit(mb))+programBytes > usablePart*limit+1 || float64(held) > clientPart*float64(memoryLimit(mb))+1 {
-					t.Errorf("%d MB, %d descriptors, %d fronts: collector %d, clients %d", mb, descriptors, fronts, memoryLimit(mb), held)
-				}
-				if m.shared(1) < int64(m.maxConnections)*requestBytes/8 {
-					t.Errorf("%d MB, %d descriptors: %d bytes for the requests of %d connections", mb, descriptors, m.shared(1), m.maxConnections)
-				}
+			m := newClientMemory(mb, descriptors)
+			held := m.shared(1) + m.connections.Limit()
+			if limit := float64(int64(mb) << 20); float64(memoryLimit(mb))+programBytes > usablePart*limit+1 || float64(held) > clientPart*float64(memoryLimit(mb))+1 {
+				t.Errorf("%d MB, %d descriptors: collector %d, clients %d", mb, descriptors, memoryLimit(mb), held)
+			}
+			if m.shared(1) < int64(m.maxConnections)*requestBytes/8 {
+				t.Errorf("%d MB, %d descriptors: %d bytes for the requests of %d connections", mb, descriptors, m.shared(1), m.maxConnections)
 			}
 		}
 	}
@@ -40,7 +38,7 @@
 		mb, sockets int
 		want        string
 	}{{32, 1024, "memory_mb = 32 carries 477 connections of clients, sockets = 1024 would allow 555"}, {192, 1024, ""}, {32, 256, ""}, {0, 100_000, ""}} {
-		if got := (Config{MemoryMB: c.mb, Sockets: c.sockets}).MemoryWarning(1); !strings.Contains(got, c.want) || got != "" && c.want == "" {
+		if got := (Config{MemoryMB: c.mb, Sockets: c.sockets}).MemoryWarning(); !strings.Contains(got, c.want) || got != "" && c.want == "" {
 			t.Errorf("%d MB, %d descriptors: %q", c.mb, c.sockets, got)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,7 +95,7 @@
 	// An active request takes a descriptor on each side, and a second copy one more.
 	policySettings.Limits.MaxOpen = connDescriptors / 3
 	serverDescriptors, clientDescriptors := splitDescriptors(connDescriptors)
-	memory := newClientMemory(cfg.MemoryMB, clientDescriptors, 1+len(op.Web))
+	memory := newClientMemory(cfg.MemoryMB, clientDescriptors)
 	clients := newClients(clientDescriptors, memory)
 	clients.writes = writeLimits(op.Clients.MinReadRate())
 	up := newUpstream(cfg.Site.ConnIdle, cfg.Site.ConnectTimeout, serverDescriptors)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -694,7 +694,7 @@
 func TestDrainingFrontClosesAfterAnswers(t *testing.T) {
 	var state lifecycle.Lifecycle
 	state.Ready()
-	f := newFront(idle(t), nil, wire.Site{}, newClients(8, newClientMemory(0, 8, 1)), newClientMemory(0, 8, 1), &state, false)
+	f := newFront(idle(t), nil, wire.Site{}, newClients(8, newClientMemory(0, 8)), newClientMemory(0, 8), &state, false)
 	for _, draining := range []bool{false, true} {
 		f.draining.Store(draining)
 		w := httptest.NewRecorder()
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -45,6 +45,7 @@
 	listener      net.Listener
 	server        *http.Server
 	memory        Memory
+	resting       restingConns
 	bufferedBytes atomic.Int64
 	lastID        atomic.Uint64 // of the latest request
 	draining      atomic.Bool
@@ -65,7 +66,7 @@
 // New opens the listener and creates the pool; Run serves. The configuration must have passed
 // CheckAll.
 func New(c Config, memory Memory, seed uint64, clock core.Clock, log *slog.Logger) (_ *Front, err error) {
-	f := &Front{opt: c, memory: memory, log: log.With("web", c.Name), ruleHits: make([]atomic.Int64, len(c.Rule)+1)}
+	f := &Front{opt: c, memory: memory, resting: restingConns{since: map[net.Conn]time.Time{}}, log: log.With("web", c.Name), ruleHits: make([]atomic.Int64, len(c.Rule)+1)}
 	if f.classify, err = c.newClassifier(); err != nil {
 		return nil, err
 	}
@@ -108,7 +109,7 @@
 	s := &http.Server{
 		Handler: f, ReadHeaderTimeout: l.Read.Duration, IdleTimeout: l.Idle.Duration, MaxHeaderBytes: l.Header.Bytes,
 		DisableGeneralOptionsHandler: true, // servers answer OPTIONS *
-		ConnContext:                  withConn, ConnState: stopFraming,
+		ConnContext:                  withConn, ConnState: f.connState,
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug), Protocols: new(http.Protocols),
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: l.Streams, MaxDecoderHeaderTableSize: 4096, MaxEncoderHeaderTableSize: 4096,
@@ -145,7 +146,7 @@
 			}
 		}
 	}()
-	limited := newLimitedListener(f.listener, f.maxConnections())
+	limited := newLimitedListener(f.listener, f.maxConnections(), &f.resting, f.memory)
 	serveErr := make(chan error, 1)
 	go func() {
 		if len(f.opt.Cert) == 0 {
--- a/internal/web/listener.go
+++ b/internal/web/listener.go
@@ -89,51 +89,6 @@
 	return err
 }
 
-// limitedListener limits the number of open connections. Further ones wait in the system's queue.
-type limitedListener struct {
-	net.Listener
-	slots  chan struct{} // one for each open connection
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newLimitedListener(l net.Listener, most int) *limitedListener {
-	return &limitedListener{Listener: l, slots: make(chan struct{}, most), closed: make(chan struct{})}
-}
-
-// Accept implements net.Listener.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	return &limitedConn{TCPConn: c.(*net.TCPConn), release: sync.OnceFunc(func() { <-l.slots })}, nil
-}
-
-// Close implements net.Listener.
-func (l *limitedListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
-}
-
-// limitedConn is a connection of a limitedListener.
-type limitedConn struct {
-	*net.TCPConn
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *limitedConn) Close() error {
-	defer c.release()
-	return c.TCPConn.Close()
-}
-
 type (
 	framingKey struct{}
 	answersKey struct{}
@@ -168,8 +123,9 @@
 	}
 }
 
-// stopFraming is used as http.Server.ConnState: a connection that was taken over carries no more requests.
-func stopFraming(c net.Conn, s http.ConnState) {
+// connState is used as http.Server.ConnState. A connection that was taken over carries no more requests.
+func (f *Front) connState(c net.Conn, s http.ConnState) {
+	f.resting.connState(c, s)
 	if framed, ok := c.(*framing.Conn); ok && s == http.StateHijacked {
 		framed.Requests.Stop()
 	}
--- a/internal/web/memory.go
+++ b/internal/web/memory.go
@@ -10,11 +10,13 @@
 // Memory is what the clients of a front can make it hold. The zero value sets no limits beside those of the
 // configuration.
 type Memory struct {
-	Connections int                // of clients; 0: as the configuration says
-	Heads       *membudget.Account // incomplete heads
-	Requests    *membudget.Account // requests in progress
-	Bodies      *membudget.Account // bodies that are kept for further attempts
-	Buffers     *membudget.Account // for streaming bodies and answers
+	MaxConnections  int                // of clients; 0: as the configuration says
+	ConnectionBytes int64              // that each of them takes of Connections
+	Connections     *membudget.Account // of all fronts
+	Heads           *membudget.Account // incomplete heads
+	Requests        *membudget.Account // requests in progress
+	Bodies          *membudget.Account // bodies that are kept for further attempts
+	Buffers         *membudget.Account // for streaming bodies and answers
 }
 
 const (
@@ -28,8 +30,8 @@
 // maxConnections returns how many connections of clients the front can have.
 func (f *Front) maxConnections() int {
 	most := f.opt.Limits.Connections
-	if f.memory.Connections > 0 {
-		most = min(most, f.memory.Connections)
+	if f.memory.MaxConnections > 0 {
+		most = min(most, f.memory.MaxConnections)
 	}
 	return most
 }
