A process that ends leaves the handover path to its successor

Callers saw: behind a planned upgrade the next new process did not find the serving one; both accepted, and an operator's cordon, quiesce or resume at one was not in force at the other.

The link also ends when the process itself ends: it bound a new socket at the path of its living successor and left it dead.

Fix: behind its own end a process leaves the path as it is.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -244,6 +244,40 @@
 	}
 }
 
+// Guards against an upgrade that does not find the serving process: a predecessor that ends takes the path from its
+// successor, which goes on serving, and leaves a dead socket there.
+func TestEndingPredecessorLeavesThePath(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	predecessor, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- predecessor.Serve(ctx, func() State { return state("n1") }, func(ctx context.Context, l *Link) {
+			_ = l.Run(ctx, func(Message) error { return nil }) // until the predecessor ends
+		}, func(err error) { t.Error(err) })
+	}()
+	link, err := Dial(path, state("n1"))
+	if err != nil || link == nil {
+		t.Fatal(link, err)
+	}
+	defer link.conn.Close()
+	successor, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer successor.Close()
+	end()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if file, err := os.Stat(path); err != nil || !os.SameFile(file, successor.file) {
+		t.Errorf("the predecessor took the path when it ended: %v", err)
+	}
+}
+
 // Stale files in $TMPDIR are ignored or replaced, and peers with an invalid handshake are rejected with an error.
 func TestStaleFilesAndInvalidPeers(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -283,6 +283,9 @@
 			continue
 		}
 		connected(ctx, link)
+		if ctx.Err() != nil { // this process ends, not the successor, which keeps the path
+			return nil
+		}
 		if err := p.takeBack(); err != nil {
 			if ctx.Err() != nil {
 				return nil
