A request whose body still arrives is no load for its server

Cause: the module counted an attempt as load from its first byte on, so uploads that stop filled what a server may have in flight; their age counted as its latency, and one could be a half-open server's trial for minutes. The same on four cores as on one, so it is not the processor.

Change: load counts from Balancer.RequestSent on; another request may take the place of a trial that is still being uploaded; a streamed body reserves 16 KiB more and leaves others a quarter.

The new tests fail before (1 of 24 uploads reaches the server); TestNoMemoryForAnUpload fails without the reservation.

TestMostSlowBodiesStayWithinTheMemoryLimit shared its memory with a stand-in server that keeps every body: now that all reach it, 100 MB of 64 were the server's. It discards them; same bound, 34 MB held.

--- a/internal/node/bodies.go
+++ b/internal/node/bodies.go
@@ -54,6 +54,7 @@
 	if b.rest != nil {
 		b.rest.Stop()
 		b.restClaim.Close()
+		b.memory.requests.Release(uploadBytes)
 	}
 	b.memory.bodies.Release(b.reserved)
 }
@@ -113,8 +114,8 @@
 
 var errIncompleteBody = &clientError{http.StatusRequestTimeout, "body: it did not come whole, or came too slowly"}
 
-// readBody buffers a body as far as the memory budget permits. full reports that there was no
-// memory for a body of a size that is always buffered; nothing of it was read then.
+// readBody buffers a body as far as the memory budget permits. full reports that there was no memory for a body of a
+// size that is always buffered, or for streaming the rest of a larger one; nothing of it was forwarded then.
 func (f *front) readBody(w http.ResponseWriter, r *http.Request) (b *body, full bool, err error) {
 	in := bodyrate.NewReader(r.Body, http.NewResponseController(w), bodyrate.Limits{BytesPerSecond: minBodyRate, Grace: bodyGrace})
 	b = &body{length: r.ContentLength, memory: f.memory}
@@ -157,6 +158,10 @@
 			break
 		}
 	}
+	if !reserveLarge(f.memory.requests, uploadBytes) {
+		b.memory.bodies.Release(b.reserved)
+		return nil, true, nil
+	}
 	b.rest = in
 	return b, false, nil
 }
--- a/internal/node/many_slow_bodies_test.go
+++ b/internal/node/many_slow_bodies_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync"
@@ -27,9 +28,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := newDigestServer(t)
+	var s server // keeps nothing of what it reads, as it shares its memory with the node here
+	discarding := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }))
+	defer discarding.Close()
+	s.addr = discarding.Listener.Addr().String()
 	var before, after runtime.MemStats
-	addr, _ := startNodeOn(t, l, newRegistry(t, listedTarget(s, "s1")), operator.File{}, Reloads{}, quiet(), func(cfg *Config) {
+	addr, _ := startNodeOn(t, l, newRegistry(t, listedTarget(&s, "s1")), operator.File{}, Reloads{}, quiet(), func(cfg *Config) {
 		cfg.MemoryMB, cfg.Sockets = memoryMB, sockets
 	})
 	runtime.GC()
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -24,6 +24,9 @@
 	// requestBytes is what a request in progress holds besides its head and body: goroutines, a connection to a server,
 	// small buffers.
 	requestBytes = 16 << 10
+	// uploadBytes is what a body that is streamed to its server holds besides: goroutines, timers, the buffers of two
+	// connections that are in use at once.
+	uploadBytes = 16 << 10
 	// unlimitedMB is the memory that is assumed if the configuration names none.
 	unlimitedMB = 512
 
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -451,10 +451,12 @@
 		x.restClaim.Close()
 		f.bufferedBytes.Add(-reserved)
 		f.memory.Bodies.Release(reserved)
+		x.releaseUpload()
 	}
 	if x.expectsContinue = strings.EqualFold(r.Header.Get("Expect"), "100-continue"); x.expectsContinue || r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		if x.expectsContinue && r.ContentLength != 0 {
-			x.streamRest(control)
+		if x.expectsContinue && r.ContentLength != 0 && !x.streamRest(control) {
+			ended()
+			return nil, nil, f.headProblem(framing.ErrNoMemory)
 		}
 		return x, ended, nil
 	}
@@ -475,7 +477,10 @@
 	x.buffered = text
 	switch {
 	case int64(len(text)) > maxBuffered || r.ContentLength > int64(len(text)):
-		x.streamRest(control)
+		if !x.streamRest(control) {
+			ended()
+			return nil, nil, f.headProblem(framing.ErrNoMemory)
+		}
 	default:
 		x.length = int64(len(text))
 		x.header.Del("Trailer")
--- a/internal/web/memory.go
+++ b/internal/web/memory.go
@@ -23,6 +23,11 @@
 	// requestBytes is what a request in progress holds besides its head and body: goroutines, a connection to a server,
 	// small buffers.
 	requestBytes = 24 << 10
+	// uploadBytes is what a body that is streamed to its server holds besides: goroutines, timers, the buffers of two
+	// connections that are in use at once.
+	uploadBytes = 16 << 10
+	// uploadPart of the memory for requests is all that streamed bodies can fill; the rest is for other requests.
+	uploadPart = 0.75
 	// headSlop is what net/http takes beyond its limit for a head.
 	headSlop = 4 << 10
 )
--- a/internal/web/upload.go
+++ b/internal/web/upload.go
@@ -28,11 +28,23 @@
 	ended    bool        // the body has ended or failed, or the attempt has
 }
 
-// streamRest leaves what has not been read of the body to the attempt, which sends it while it comes.
-func (x *exchange) streamRest(control *http.ResponseController) {
+// streamRest leaves what has not been read of the body to the attempt, which sends it while it comes. It returns false if
+// there is no memory for that; nothing was sent then.
+func (x *exchange) streamRest(control *http.ResponseController) bool {
+	if !x.front.memory.Requests.ReserveWithin(uploadBytes, uploadPart) {
+		return false
+	}
 	x.rest = x.body
 	x.bodyPending.Store(x.http1)
 	_ = control.EnableFullDuplex() // no-op for HTTP/2, which is always full duplex
+	return true
+}
+
+// releaseUpload returns the memory that streamRest has reserved.
+func (x *exchange) releaseUpload() {
+	if x.rest != nil {
+		x.front.memory.Requests.Release(uploadBytes)
+	}
 }
 
 // newUpload starts to read the body for an attempt. The caller must call close.
--- a/policy/pick.go
+++ b/policy/pick.go
@@ -67,8 +67,7 @@
 func (b *Balancer) pick(now time.Duration, r *request) *server {
 	b.refresh(now)
 	for _, s := range b.notClosed {
-		if s.breaker == halfOpen && s.trial == nil && (r.class.Effect != Unsafe || b.allUnsafe) &&
-			!r.tried(s) && b.maySend(now, r, s) {
+		if b.canBeTrial(r, s) && !r.tried(s) && b.maySend(now, r, s) {
 			return s
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -221,7 +221,7 @@
 		if s.breaker == open && now >= s.reopenAt {
 			s.breaker, s.trial = halfOpen, nil
 		}
-		if s.breaker == halfOpen && s.trial == nil {
+		if s.awaitsTrial() {
 			b.usable++
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -49,7 +49,7 @@
 	latency      float64
 
 	relativeWeight  float64    // its weight over the mean of the ready servers; 1 where unknown
-	inFlight        []*attempt // this node's attempts in flight, oldest first
+	inFlight        []*attempt // this node's attempts in flight that add load, oldest first
 	load            float64    // their work
 	limitOffset     float64    // in [0,1): see hasRoom
 	unloaded        float64    // mean log latency of unloaded attempts, relative to the class's baseline
@@ -191,7 +191,7 @@
 	warmServers      int     // warm servers whose breaker is closed, as of the last refresh
 	warmRate         float64 // work per second sent to them
 	coldShares       float64 // sum of the cold shares of all ready servers
-	inFlight         int     // attempts in flight
+	inFlight         int     // attempts in flight that add load
 	limit            float64 // concurrency limit per ready server; may be below one
 	limitOffset      float64 // in [0,1): offset that decides the rounding of a small total limit
 	unloadedSamples  int
@@ -394,14 +394,22 @@
 func (b *Balancer) startAttempt(now time.Duration, r *request, s *server) *attempt {
 	r.attempts = append(r.attempts, attempt{
 		server: s, request: r, zone: s.Zone, cell: s.Cell, sentAt: now, inFlight: true, work: b.unloadedLatency(r),
-		unloaded: len(s.inFlight) == 0 && b.inFlight*b.set.Nodes <= 3*len(b.ready),
 	})
 	a := &r.attempts[len(r.attempts)-1]
 	r.inFlight++
+	if !r.Uploading { // a server begins a request when its last byte has come
+		b.addLoad(a)
+	}
+	return a
+}
+
+// addLoad adds an attempt to its server's load.
+func (b *Balancer) addLoad(a *attempt) {
+	s := a.server
+	a.unloaded = len(s.inFlight) == 0 && b.inFlight*b.set.Nodes <= 3*len(b.ready)
 	b.inFlight++
 	s.inFlight = append(s.inFlight, a)
 	s.load += a.work
-	return a
 }
 
 // findAttempt returns the attempt that an event is about; nil if it is not in flight.
@@ -420,7 +428,7 @@
 	b.releaseLoad(a)
 }
 
-// releaseLoad takes an attempt off its server's load; repeated calls have no effect.
+// releaseLoad takes an attempt off its server's load; it has no effect on one that adds none.
 func (b *Balancer) releaseLoad(a *attempt) {
 	if i := slices.Index(a.server.inFlight, a); i >= 0 {
 		a.server.inFlight = slices.Delete(a.server.inFlight, i, i+1)
@@ -503,13 +511,21 @@
 	return time.Duration(float64(d) * (0.8 + 0.4*b.rng.Float64()))
 }
 
-// skipsTrial reports whether a request that found no server leaves room for others behind it: it must not be
-// a trial, and a server awaits one. Otherwise unsafe requests with the highest worth would keep all servers
-// half-open indefinitely.
+// skipsTrial reports whether a request that found no server leaves room for others behind it: it can't be the trial
+// that a server awaits. Otherwise unsafe requests with the highest worth would keep all servers half-open indefinitely.
 func (b *Balancer) skipsTrial(r *request) bool {
-	return r.class.Effect == Unsafe && !b.allUnsafe && slices.ContainsFunc(b.notClosed, func(s *server) bool {
-		return s.breaker == halfOpen && s.trial == nil
-	})
+	return slices.ContainsFunc(b.notClosed, func(s *server) bool { return s.awaitsTrial() && !b.canBeTrial(r, s) })
+}
+
+// canBeTrial reports whether a request can be the trial of a half-open server.
+func (b *Balancer) canBeTrial(r *request, s *server) bool {
+	return s.awaitsTrial() && (s.trial == nil || !r.Uploading) && (r.class.Effect != Unsafe || b.allUnsafe)
+}
+
+// awaitsTrial reports whether a half-open server has no trial that it can be working on. A request that is still being
+// uploaded may take minutes until it shows anything: another one takes its place.
+func (s *server) awaitsTrial() bool {
+	return s.breaker == halfOpen && (s.trial == nil || s.trial.request.Uploading)
 }
 
 // recordLatency records the latency of a served request, relative to unloaded ones of its class at its
@@ -633,13 +649,14 @@
 }
 
 // RequestSent reports that the last byte of a request that was still arriving has been sent: from now on its own time
-// and its server's latency count.
+// and its server's latency count, and it is a load for its server.
 func (b *Balancer) RequestSent(now time.Duration, id RequestID, index int, left time.Duration) {
 	r, a := b.findAttempt(id, index)
 	if r == nil || !r.Uploading {
 		return
 	}
 	r.Uploading, a.sentAt = false, now
+	b.addLoad(a)
 	b.startClock(now, r, left)
 }
 
--- a/policy/upload_test.go
+++ b/policy/upload_test.go
@@ -93,3 +93,81 @@
 		t.Errorf("%d and %d within the quota, a single process has %d", one, other, whole)
 	}
 }
+
+// Guards against slow uploads that keep all other requests waiting: a request that is still arriving is no load for its
+// server, however long its client takes. From RequestSent on it is one.
+func TestUploadsAddNoLoad(t *testing.T) {
+	set := testSettings()
+	r := newRig(t, set, 1)
+	upload := func(class int) RequestID {
+		r.next++
+		r.b.Request(r.now, Request{ID: r.next, Class: class, TimeLeft: 2 * time.Second, Uploading: true})
+		return r.next
+	}
+	var uploads []RequestID
+	for range 50 {
+		uploads = append(uploads, upload(2))
+	}
+	r.advance(30 * time.Second)
+	server := r.b.servers[1]
+	if n := len(r.h.sends); n != len(uploads) || len(server.inFlight) != 0 || r.b.inFlight != 0 {
+		t.Fatalf("%d of %d uploads sent, %d in flight", n, len(uploads), len(server.inFlight))
+	}
+	id := r.request(0)
+	if len(r.sendsOf(id)) != 1 {
+		t.Fatal("a request waits for uploads")
+	}
+	r.advance(10 * ms)
+	if r.end(id, OK, 10*ms); server.latency > 3 {
+		t.Errorf("uploads count as latency: %v times the unloaded one", server.latency)
+	}
+	for _, id := range uploads {
+		r.b.RequestSent(r.now, id, 0, 2*time.Second)
+	}
+	if n := len(server.inFlight); n != len(uploads) || server.load <= 0 {
+		t.Errorf("%d in flight once all were sent, want %d; load %v", n, len(uploads), server.load)
+	}
+	waits := r.request(0)
+	if len(r.sendsOf(waits)) != 0 {
+		t.Error("requests that have been sent are no load")
+	}
+	for n, id := range uploads {
+		r.end(id, []Status{OK, NotSent, Cancelled}[n%3], 10*ms)
+	}
+	r.end(waits, OK, 10*ms)
+	cancelled := upload(2)
+	r.b.ClientGone(r.now, cancelled)
+	r.end(cancelled, Cancelled, 10*ms)
+	r.advance(5 * time.Second)
+	if v := r.b.Inspect(r.now); v.Open != 0 || v.InFlight != 0 || server.load != 0 {
+		t.Errorf("not cleaned up: %+v, load %v", v, server.load)
+	}
+}
+
+// Guards against a slow upload that keeps a recovered server out: while the trial of a half-open server is still
+// arriving, one other request takes its place.
+func TestUploadDoesNotHoldTheTrial(t *testing.T) {
+	set := testSettings()
+	r := newRig(t, set, 1)
+	server := r.b.servers[1]
+	server.breaker = halfOpen
+	r.b.notClosed = append(r.b.notClosed, server)
+	upload := func() RequestID {
+		r.next++
+		r.b.Request(r.now, Request{ID: r.next, Class: 0, TimeLeft: 2 * time.Second, Uploading: true})
+		return r.next
+	}
+	first, second := upload(), upload()
+	if len(r.sendsOf(first)) != 1 || len(r.sendsOf(second)) != 0 {
+		t.Fatalf("%d and %d sends, want the first upload as the trial", len(r.sendsOf(first)), len(r.sendsOf(second)))
+	}
+	id, other := r.request(0), r.request(0)
+	if len(r.sendsOf(id)) != 1 || len(r.sendsOf(other)) != 0 {
+		t.Fatalf("%d and %d sends, want one request in the upload's place", len(r.sendsOf(id)), len(r.sendsOf(other)))
+	}
+	r.advance(10 * ms)
+	r.end(id, OK, 10*ms)
+	if next := r.request(0); server.breaker != closed || len(r.sendsOf(next)) != 1 {
+		t.Errorf("breaker %v after a good trial, %d sends of the next request", server.breaker, len(r.sendsOf(next)))
+	}
+}
