TestNoMemoryForAnUpload leaves room for the request but not for its upload

Change: 730 KiB of 1 MiB are taken by others, in which the request fits within its part and its upload does not.

--- a/internal/web/slow_upload_test.go
+++ b/internal/web/slow_upload_test.go
@@ -56,7 +56,7 @@
 	}
 	others := budget.Account("others", 1)
 	r.waitFor("memory that came back", func() bool { return budget.Inspect()[0].Held == 0 })
-	others.Reserve(750 << 10)
+	others.Reserve(730 << 10) // room for the request, not for its upload within uploadPart
 	if code := post(); code != http.StatusServiceUnavailable {
 		t.Errorf("an upload is answered %d without memory", code)
 	}
