[[web]]: a drain that is shorter than a deadline leaves requests theirs

Cause: one context ended all that was open when `drain` was over, requests without an answer as well as the streams and tunnels for which the setting is meant.

Fix: `drain` ends streams, tunnels and bodies that still arrive; a request that has come whole has until the longest deadline of the front's classes and a second.

--- a/internal/web/exchange.go
+++ b/internal/web/exchange.go
@@ -49,6 +49,8 @@
 	bodyPending atomic.Bool        // over HTTP/1.1: the end of rest has still to come
 	clientCtx   context.Context    // net/http's context of the request
 	cancel      context.CancelFunc // ends ctx
+	bodyEnded   atomic.Bool        // the end of rest has come
+	relaying    atomic.Bool        // the answer is on its way to the client
 
 	unread     func() int   // bytes of the client's that wait in the system's buffer; nil if that is not known
 	mayHaveRun atomic.Int64 // attempts that can have run, or are running
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -51,6 +51,8 @@
 	draining      atomic.Bool
 	streamCtx     context.Context // done when streams and tunnels must end
 	endStreams    context.CancelFunc
+	requestCtx    context.Context // done when all requests must end
+	endRequests   context.CancelFunc
 
 	handlers sync.RWMutex // read-locked by each running handler; net/http does not track hijacked tunnels
 
@@ -97,7 +99,8 @@
 	if f.listener, err = net.Listen("tcp", c.Listen); err != nil {
 		return nil, fmt.Errorf("web %s: %w", c.Name, err)
 	}
-	f.streamCtx, f.endStreams = context.WithCancel(context.Background())
+	f.requestCtx, f.endRequests = context.WithCancel(context.Background())
+	f.streamCtx, f.endStreams = context.WithCancel(f.requestCtx)
 	f.server = newServer(f)
 	return f, nil
 }
@@ -170,7 +173,7 @@
 		}
 	case <-ctx.Done():
 	}
-	f.endStreams()
+	f.endRequests()
 	f.server.Close()
 	f.handlers.Lock()
 	stopLoop()
@@ -190,29 +193,6 @@
 	f.loop.UpdateServers(kind, entries, addrs)
 }
 
-// Drain closes the listener and waits up to the configured time for open requests, streams
-// and tunnels to end, then ends the remaining ones.
-func (f *Front) Drain(ctx context.Context) {
-	f.draining.Store(true)
-	drainCtx, cancel := context.WithTimeout(ctx, f.opt.Drain.Duration)
-	defer cancel()
-	err := f.server.Shutdown(drainCtx) // sends GOAWAY on HTTP/2 connections
-	ticker := time.NewTicker(10 * time.Millisecond)
-	defer ticker.Stop()
-	for err == nil && f.tunnels.Load() > 0 {
-		select {
-		case <-ticker.C:
-		case <-drainCtx.Done():
-			err = drainCtx.Err()
-		}
-	}
-	if open := f.requests.Load(); err != nil && open > 0 {
-		f.log.Warn("drain time expired; open requests, streams and tunnels are cut off", "open", open)
-	}
-	f.endStreams()
-	f.server.Close()
-}
-
 // clientAddr returns the client's address.
 func clientAddr(r *http.Request) netip.Addr {
 	addr, _ := netip.ParseAddrPort(r.RemoteAddr) // on error the address is invalid, which no trusted prefix contains
@@ -440,7 +420,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
 	x.ctx, x.cancel, x.clientCtx = ctx, cancel, r.Context()
-	unhookDrain := context.AfterFunc(f.streamCtx, cancel)
+	unhookDrain := x.endWithDrain()
 	unhookClient := context.AfterFunc(r.Context(), x.clientDisconnected)
 	reserved := int64(0)
 	ended = func() {
--- a/internal/web/relay.go
+++ b/internal/web/relay.go
@@ -20,6 +20,7 @@
 // the client's connection or HTTP/2 stream is aborted, so that the client does not take it
 // for complete.
 func (f *Front) relay(w http.ResponseWriter, r *http.Request, x *exchange, answer *streaming.Answer) {
+	x.relaying.Store(true)
 	x.body.WaiveRate() // the client has its answer; what it still sends takes as long as it likes
 	if answer.Tunnel != nil {
 		answer.Finish(f.tunnel(w, r, x, answer))
--- a/internal/web/upload.go
+++ b/internal/web/upload.go
@@ -101,6 +101,7 @@
 
 // clientBodyEnded records that the body's last byte has come.
 func (x *exchange) clientBodyEnded() {
+	x.bodyEnded.Store(true)
 	x.bodyPending.Store(false)
 	if x.clientCtx.Err() != nil { // it ended while the report would not have been believed
 		x.clientDisconnected()
