--- a/internal/framing/reader.go
+++ b/internal/framing/reader.go
@@ -130,7 +130,7 @@
 	// what is read next.
 	look := len(b) == 1
 	var scratch []byte
-	if !look && r.betweenRequests() {
+	if !look && len(r.ready) == 0 && r.betweenRequests() { // what is ready belongs to requests that net/http has not read yet
 		r.requests.release()
 	}
 	for {
--- a/internal/framing/reader_test.go
+++ b/internal/framing/reader_test.go
@@ -148,3 +148,24 @@
 		t.Errorf("%v, %d held while the next request is awaited", err, held())
 	}
 }
+
+// Guards against requests whose memory is not counted: net/http reads the first bytes of a connection that may carry
+// HTTP/2 apart, which was taken for the wait for the next request.
+func TestReaderHoldsARequestsMemoryWhileItIsReadInParts(t *testing.T) {
+	budget := membudget.New(1 << 20)
+	const head = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+	r := NewReader(strings.NewReader(head), testLimits(budget))
+	preface := make([]byte, len("PRI * HTTP/2.0"))
+	for read := 0; read < len(head); {
+		n, err := r.Read(preface)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if read += n; budget.Inspect()[1].Held < 1<<10 {
+			t.Errorf("%d bytes are held behind %d of the head", budget.Inspect()[1].Held, read)
+		}
+	}
+	if _, err := r.Read(preface); !errors.Is(err, io.EOF) || budget.Inspect()[1].Held != 0 {
+		t.Errorf("%v, %d held while the next request is awaited", err, budget.Inspect()[1].Held)
+	}
+}
