--- a/internal/web/slow_server_test.go
+++ b/internal/web/slow_server_test.go
@@ -38,3 +38,55 @@
 		t.Error("the systems' buffers took no request as a whole")
 	}
 }
+
+// Guards against answers that come seconds after their time to requests without a length: their server reads nothing, and
+// nobody knows whether the client has written its last byte.
+func TestUnreadChunkedUploadIsAnsweredInTime(t *testing.T) {
+	const deadline, slack = time.Second, 50 * time.Millisecond
+	for name, begin := range map[string]func(*fixture) testUpload{"HTTP/1.1": beginHTTP1Upload, "HTTP/2": beginHTTP2Upload} {
+		t.Run(name, func(t *testing.T) {
+			r := &fixture{t: t}
+			r.start(fmt.Sprintf("[[web]]\nlisten = \"127.0.0.1:0\"\n[[web.server]]\nname = \"a\"\naddress = %q\n"+
+				"[[web.class]]\nname = \"all\"\naim = \"500ms\"\ndeadline = \"1s\"\n", stuckserver.New(t).Addr()))
+			up := begin(r)
+			written := writeUntilBlocked(up)
+			if a := up.await(t); a.err != nil || a.code < 500 {
+				t.Fatalf("%d, %v, want an error in place of an answer", a.code, a.err)
+			}
+			if late := time.Since(written) - deadline; late > slack {
+				t.Errorf("answered %v after the client's time", late)
+			}
+		})
+	}
+}
+
+// writeUntilBlocked writes to an upload until nobody takes more of it, and returns when the last byte was taken.
+func writeUntilBlocked(up testUpload) (last time.Time) {
+	const blocked = 200 * time.Millisecond
+	took := make(chan struct{})
+	go func() {
+		defer close(took)
+		for piece := make([]byte, 16<<10); ; {
+			if _, err := up.Write(piece); err != nil { // at the test's end
+				return
+			}
+			took <- struct{}{}
+		}
+	}()
+	last = time.Now()
+	for {
+		select {
+		case _, more := <-took:
+			if !more {
+				return last
+			}
+			last = time.Now()
+		case <-time.After(blocked):
+			go func() {
+				for range took { // whatever is taken later
+				}
+			}()
+			return last
+		}
+	}
+}
