Uploads without a length, and over HTTP/2, are answered in their client's time

Cause: a client's time was estimated for bodies with a length over HTTP/1.1 alone (bodyrate.Arrival). For all others the wait for a server that takes the body slowly was bounded by a constant (30 s, or limits.stall), in place of what the client has left.

Change: the client's time counts from the earliest moment at which it may have written the last byte. What arrives later shows that it had not: a read that waits, or more bytes than the buffers of both systems held at that moment (TCP_INFO, SIOCINQ; over HTTP/2 the stream's window). The connection is looked at 16 times in the client's time, so a client that pauses within its body, or goes on writing while the receive window is open, is not given up. Time that the request waited for a server counts too.

A client that keeps megabytes in its own system's buffer can't be told from one that has written its last byte: a server that takes less than 4 MB in its client's time of such a body without a length now costs that request an error in time instead of a late answer.

--- a/internal/bodyrate/bodyrate.go
+++ b/internal/bodyrate/bodyrate.go
@@ -55,13 +55,13 @@
 	if r.stopped.Load() {
 		return 0, ErrStopped
 	}
-	empty := r.arrival.nothingUnread()
+	empty := r.arrival.beginRead()
 	n, err := r.src.Read(b)
 	r.received += int64(n)
 	ended := time.Now()
 	took := ended.Sub(began)
 	r.waited += took
-	if r.arrival.observe(ended, empty && took >= hadToWait, r.received); err != nil {
+	if r.arrival.endRead(ended, empty && took >= hadToWait, r.received); err != nil {
 		r.arrival.end()
 	}
 	if errors.Is(err, io.EOF) && !r.stopped.Load() {
--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -81,8 +81,8 @@
 	return c.Conn.Close()
 }
 
-// Unread returns how many bytes of the client's wait in the system's buffer.
-func (c *Conn) Unread() int {
+// Received returns the state of what has been received on the connection.
+func (c *Conn) Received() sockbuf.State {
 	under := c.Conn.Conn
 	if secure, ok := under.(*tls.Conn); ok {
 		under = secure.NetConn()
@@ -92,13 +92,13 @@
 	}
 	s, ok := under.(syscall.Conn)
 	if !ok {
-		return 0
+		return sockbuf.State{}
 	}
 	socket, err := s.SyscallConn()
 	if err != nil {
-		return 0
+		return sockbuf.State{}
 	}
-	return sockbuf.Unread(socket)
+	return sockbuf.Inspect(socket)
 }
 
 // Listener wraps the connections of a listener in Conn.
--- a/internal/node/bodies.go
+++ b/internal/node/bodies.go
@@ -34,6 +34,7 @@
 	buffered [][]byte
 	length   int64            // total length; -1 if not known in advance
 	rest     *bodyrate.Reader // nil if the whole body is buffered
+	restFrom time.Time        // since when rest is read at the server's pace
 
 	memory      *clientMemory
 	reserved    int64          // bytes reserved for buffered
@@ -162,7 +163,7 @@
 		b.memory.bodies.Release(b.reserved)
 		return nil, true, nil
 	}
-	b.rest = in
+	b.rest, b.restFrom = in, time.Now()
 	return b, false, nil
 }
 
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -128,6 +128,9 @@
 // unread returns how many bytes wait in the system's receive buffer.
 func (c *client) unread() int { return sockbuf.Unread(c.socket) }
 
+// received returns the state of what has been received on the connection.
+func (c *client) received() sockbuf.State { return sockbuf.Inspect(c.socket) }
+
 // mayHaveLeft reports, right before an attempt's first byte, that the client has disconnected, or that it has sent so
 // much behind its request that a disconnect can't be seen. The connection of such a client ends with nothing sent on.
 func (c *client) mayHaveLeft() bool {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -72,9 +72,11 @@
 
 // arrival describes the client's time for an attempt that streams the body.
 func (m *message) arrival(t turn) bodyrate.Arrival {
-	a := bodyrate.Arrival{Length: m.body.length, Answer: m.timeLeft, Due: func() { t.RequestSent(bodyrate.DueAhead) }}
+	a := bodyrate.Arrival{
+		Length: m.body.length, Answer: m.timeLeft, From: m.body.restFrom, Ahead: bodyrate.SenderBuffer, Due: func() { t.RequestSent(bodyrate.DueAhead) },
+	}
 	if m.client != nil {
-		a.Unread = m.client.unread
+		a.Connection = m.client.received
 	}
 	return a
 }
--- a/internal/web/exchange.go
+++ b/internal/web/exchange.go
@@ -16,6 +16,7 @@
 	"otterstep/internal/conns"
 	"otterstep/internal/core"
 	"otterstep/internal/h1"
+	"otterstep/internal/sockbuf"
 	"otterstep/internal/streaming"
 	"otterstep/internal/web/fields"
 	"otterstep/internal/web/verdict"
@@ -52,8 +53,10 @@
 	bodyEnded   atomic.Bool        // the end of rest has come
 	relaying    atomic.Bool        // the answer is on its way to the client
 
-	unread     func() int   // bytes of the client's that wait in the system's buffer; nil if that is not known
-	mayHaveRun atomic.Int64 // attempts that can have run, or are running
+	received   func() sockbuf.State // the state of the client's connection; nil over HTTP/2, where it says nothing of a body
+	ahead      int64                // most that the client can have written of a body beyond what has arrived
+	restFrom   time.Time            // since when the rest of the body is read at the server's pace
+	mayHaveRun atomic.Int64         // attempts that can have run, or are running
 
 	mu       sync.Mutex
 	fallback *bufferedAnswer // the latest answer that was buffered
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -105,6 +105,9 @@
 	return f, nil
 }
 
+// streamWindow is how much a client can send over HTTP/2 of a body that is not read.
+const streamWindow = 64 << 10
+
 // newServer creates the server for clients. It sets no ReadTimeout or WriteTimeout, because a
 // time limit on a whole message would end streams; each read and write has its own.
 func newServer(f *Front) *http.Server {
@@ -116,7 +119,7 @@
 		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug), Protocols: new(http.Protocols),
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: l.Streams, MaxDecoderHeaderTableSize: 4096, MaxEncoderHeaderTableSize: 4096,
-			MaxReadFrameSize: 16 << 10, MaxReceiveBufferPerStream: 64 << 10, MaxReceiveBufferPerConnection: 1 << 20,
+			MaxReadFrameSize: 16 << 10, MaxReceiveBufferPerStream: streamWindow, MaxReceiveBufferPerConnection: 1 << 20,
 			SendPingTimeout: l.Idle.Duration, PingTimeout: l.Read.Duration, WriteByteTimeout: l.Stall.Duration,
 		},
 	}
@@ -388,8 +391,9 @@
 	x.body = bodyrate.NewReader(r.Body, control, bodyrate.Limits{
 		BytesPerSecond: f.opt.Limits.BodyRate.Bytes, Grace: x.deadline, Pause: f.opt.Limits.Read.Duration,
 	})
+	x.ahead = streamWindow
 	if conn := framingOf(r); conn != nil {
-		x.unread = conn.Unread
+		x.received, x.ahead = conn.Received, bodyrate.SenderBuffer
 	}
 	x.stopBody = func() {
 		x.bodyStopped.Store(true)
--- a/internal/web/upload.go
+++ b/internal/web/upload.go
@@ -34,7 +34,7 @@
 	if !x.front.memory.Requests.ReserveWithin(uploadBytes, uploadPart) {
 		return false
 	}
-	x.rest = x.body
+	x.rest, x.restFrom = x.body, time.Now()
 	x.bodyPending.Store(x.http1)
 	_ = control.EnableFullDuplex() // no-op for HTTP/2, which is always full duplex
 	return true
@@ -51,7 +51,8 @@
 func (x *exchange) newUpload(turn core.AttemptHandle, end context.CancelFunc) *upload {
 	stall := x.front.opt.Limits.Stall.Duration
 	x.body.ExpectAnswer(bodyrate.Arrival{
-		Length: x.length, Answer: x.deadline, Unread: x.unread, Due: func() { turn.RequestSent(bodyrate.DueAhead) },
+		Length: x.length, Answer: x.deadline, From: x.restFrom, Connection: x.received, Ahead: x.ahead,
+		Due: func() { turn.RequestSent(bodyrate.DueAhead) },
 	})
 	return &upload{exchange: x, turn: turn, end: end, stall: stall, accepted: time.AfterFunc(stall, end)}
 }
