An answer under way is bounded by its client's time, not by constants of the front

Answers with pauses of over 0.3 s were given up although their clients waited on.

Cause, one class: a wait or a hold bounded by its own constant. An answer without a length was held back until 64 KiB or a pause of 0.1 s; one that is steady and slow meets neither in the client's time, and the deadline then ended the attempt. Within heads and small answers 0.3 s without a byte ended it.

Change: internal/clienttime derives holds and pauses from what the client has left. A hold ends behind a quarter of that. One that is still on at the end of the client's time becomes the final answer (core.Attempt.Hold; a compare-and-swap settles it against the attempt itself and other attempts). A stalled answer (Balancer.Stalled) is no end of its attempt: another one is made beside it where effect and settings allow two in flight, in its place once only just enough time for that is left where they do not, and an unsafe one goes on. A failure's head says what has become of the request; its body is waited for only to use the connection again. Trailers behind a whole answer take no more than a quarter of what is left.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -57,6 +57,17 @@
 // the attempt.
 func (t AttemptHandle) Begin() bool { return t.attempt.Begin() }
 
+// Hold reports that the beginning of an answer is held back; see Attempt.Hold.
+func (t AttemptHandle) Hold(release func()) bool { return t.attempt.Hold(release) }
+
+// EndHold ends the hold; see Attempt.EndHold.
+func (t AttemptHandle) EndHold() bool { return t.attempt.EndHold() }
+
+// Stalled posts Machine.Stalled.
+func (t AttemptHandle) Stalled() {
+	t.loop.post(func() { t.loop.machine.Stalled(t.loop.clock.Now(), t.attempt) })
+}
+
 // ClaimAnswer claims the right to relay the answer to the client as it arrives; see
 // Attempt.ClaimAnswer.
 func (t AttemptHandle) ClaimAnswer() bool {
@@ -257,6 +268,8 @@
 			a.Attempt.stop()
 		case ActionRespond:
 			a.Pending.Answers <- a.Answer
+		case ActionRelease:
+			a.Attempt.release()
 		case ActionWatch:
 			l.watch()
 		case ActionDrop:
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"context"
 	"fmt"
 	"maps"
 	"slices"
@@ -28,48 +27,9 @@
 	answered        bool
 	attempts        []*Attempt
 	inFlight        int
-	// claimed is set by whoever gives the final answer: the Machine, or the attempt whose
+	// claimed is set once by whoever gives the final answer: the Machine, by answeredByMachine, or the attempt whose
 	// answer is relayed to the client as it arrives.
-	claimed atomic.Bool
-}
-
-// The phases of an attempt. They are shared with the attempt's goroutine, so that nothing is
-// sent after the Machine has abandoned the attempt, and the Machine knows whether anything
-// may have been sent.
-const (
-	phaseUnsent int32 = iota
-	phaseWriting
-	phaseRelaying // its answer is being relayed to the client; the Machine does not end it
-	phaseAbandoned
-)
-
-// Attempt is one attempt at one server.
-type Attempt struct {
-	Pending *Pending
-	Message Message
-	To      Server
-	End     time.Duration // it is abandoned then at the latest
-
-	index  int
-	server policy.ServerID
-	sent   time.Duration
-	phase  atomic.Int32
-	ended  bool               // its outcome was reported; later events are ignored
-	cancel context.CancelFunc // cancels its goroutine; set by the Loop
-}
-
-// Begin claims the right to write the request; it returns false once the Machine has
-// abandoned the attempt. It may be called on any goroutine.
-func (a *Attempt) Begin() bool { return a.phase.CompareAndSwap(phaseUnsent, phaseWriting) }
-
-// ClaimAnswer claims the right to relay this attempt's answer to the client as it arrives, from the
-// first byte on: it becomes the request's final answer, and the client's deadline no longer
-// applies to it. ClaimAnswer returns false if the Machine has abandoned the attempt or the request
-// has another answer; then none of this answer may reach the client. Begin must have been
-// called before, and Machine.AnswerClaimed must be called next. ClaimAnswer may be called on any
-// goroutine.
-func (a *Attempt) ClaimAnswer() bool {
-	return a.phase.CompareAndSwap(phaseWriting, phaseRelaying) && !a.Pending.claimed.Swap(true)
+	claimed atomic.Pointer[Attempt]
 }
 
 // ActionKind is a kind of action.
@@ -80,6 +40,7 @@
 	ActionStart   ActionKind = iota // make Action.Attempt and report its result to Finished
 	ActionEnd                       // Action.Attempt has ended: stop reading and writing for it
 	ActionRespond                   // Action.Answer is the final answer to Action.Pending
+	ActionRelease                   // the answer that Action.Attempt holds back has become the final one: end its hold
 	ActionWatch                     // request a watch of the server list
 	ActionDrop                      // Action.Server was removed, restarted or moved to another address
 )
@@ -276,15 +237,23 @@
 // not tried at another server. Finished follows when the answer has ended.
 func (m *Machine) AnswerClaimed(now time.Duration, a *Attempt) {
 	m.step(now, func() {
-		if a.ended {
-			return
+		if !a.ended {
+			m.answerClaimed(a)
 		}
-		m.answer(a.Pending, Answer{Outcome: Served})
-		m.balancer.StreamStarted(m.now, a.Pending.id, a.index)
-		m.release(a.Pending)
 	})
 }
 
+func (m *Machine) answerClaimed(a *Attempt) {
+	m.answer(a.Pending, Answer{Outcome: Served})
+	m.balancer.StreamStarted(m.now, a.Pending.id, a.index)
+	m.release(a.Pending)
+}
+
+// Stalled reports that an attempt's answer has begun and does not go on; see policy.Balancer.Stalled.
+func (m *Machine) Stalled(now time.Duration, a *Attempt) {
+	m.attemptEvent(now, a, (*policy.Balancer).Stalled)
+}
+
 func (m *Machine) attemptEvent(now time.Duration, a *Attempt, event func(*policy.Balancer, time.Duration, policy.RequestID, int)) {
 	m.step(now, func() {
 		if !a.ended {
@@ -470,12 +439,14 @@
 	m.schedule(r.deadline-min(backstopMargin, left/4), func() { m.backstop(r) })
 }
 
-// expire abandons a request's attempts in flight shortly before the client's deadline. The
-// module receives these as time-outs of an open request and chooses the final answer.
+// expire ends a request's wait shortly before the client's deadline. If an attempt holds an answer back, that becomes the
+// final one: its server still gives it. Otherwise the attempts in flight are abandoned; the module receives these as
+// time-outs of an open request and chooses the final answer.
 func (m *Machine) expire(r *Pending) {
 	if m.now < r.attemptDeadline || r.uploading { // RequestSent has changed the deadline, or will
 		return
 	}
+	m.claimHeldAnswer(r)
 	for _, a := range r.attempts {
 		if !a.ended && !r.answered {
 			m.abandon(a, policy.Timeout)
@@ -483,6 +454,16 @@
 	}
 }
 
+// claimHeldAnswer claims the final answer for the first attempt that holds one back, unless the request has an answer.
+func (m *Machine) claimHeldAnswer(r *Pending) {
+	for _, a := range r.attempts {
+		if !a.ended && !r.answered && a.claimHeld() {
+			m.answerClaimed(a)
+			m.emit(Action{Kind: ActionRelease, Attempt: a})
+		}
+	}
+}
+
 // backstop answers a request that the module has not answered shortly before the client's
 // deadline, so that every request is answered in time.
 func (m *Machine) backstop(r *Pending) {
@@ -500,7 +481,7 @@
 func (m *Machine) clientGone(r *Pending) {
 	if !r.answered {
 		r.answered = true
-		r.claimed.Store(true)
+		r.claimed.CompareAndSwap(nil, answeredByMachine)
 		m.counts[r.class][ClientGone]++
 		m.balancer.ClientGone(m.now, r.id)
 		m.release(r)
@@ -531,10 +512,10 @@
 // never will, because its goroutine sees the changed phase. One whose answer is being relayed
 // to the client is left alone.
 func (m *Machine) abandon(a *Attempt, status policy.Status) {
-	switch {
-	case a.phase.CompareAndSwap(phaseUnsent, phaseAbandoned):
+	switch a.abandon() {
+	case phaseUnsent:
 		status = policy.NotSent
-	case !a.phase.CompareAndSwap(phaseWriting, phaseAbandoned) && a.phase.Load() == phaseRelaying:
+	case phaseRelaying:
 		return
 	}
 	m.reportOutcome(a, status, m.now)
@@ -560,7 +541,7 @@
 		return
 	}
 	r.answered = true
-	claimed := r.claimed.Swap(true)
+	claimed := !r.claimed.CompareAndSwap(nil, answeredByMachine)
 	if r.lateFrom != 0 && m.now >= r.lateFrom && (claimed || a.Outcome == Served) {
 		m.late[r.class]++
 	}
--- a/internal/node/answerbody.go
+++ b/internal/node/answerbody.go
@@ -8,29 +8,35 @@
 	"io"
 	"os"
 	"slices"
+	"sync"
 	"time"
 
+	"otterstep/internal/clienttime"
 	"otterstep/internal/conns"
 	"otterstep/internal/h1"
 )
 
-// answerBody is the body of an answer while it is read into memory. If the answer may be streamed, that ends at a body
-// that exceeds maxBufferedBody, or that has no length and pauses. It never ends before the body's first byte: until
-// then the request can still be tried elsewhere, and only its own time is a limit.
+// answerBody is the body of a 200 while it is read into memory. If the answer may be streamed, that ends at a body
+// that exceeds maxBufferedBody, or that has no length and pauses or takes long. It never ends before the body's first byte:
+// until then the request can still be tried elsewhere, and only its own time is a limit.
 type answerBody struct {
 	h1.Body // reads what has not been read yet
 
-	ctx       context.Context
-	c         *conns.Conn
-	head      h1.Head
-	method    string
-	mayStream bool
+	*serverAnswer
+	head    h1.Head
+	holding bool // the attempt holds back what has come; it has to end that
+}
+
+// mayStream reports whether the answer can be streamed.
+func (a *answerBody) mayStream() bool {
+	return a.message.handoff != nil && (a.Length >= 0 || !a.message.needsLength)
 }
 
 // buffer reads the body. whole is false if the rest is to be streamed; text holds what was read before.
 func (a *answerBody) buffer() (text []byte, whole bool, err error) {
+	setReadDeadline(a.ctx, a.c, a.end)
 	switch {
-	case a.Length > maxBufferedBody && !a.mayStream:
+	case a.Length > maxBufferedBody && !a.mayStream():
 		return nil, false, h1.Malformed("Content-Length %d exceeds the limit", a.Length)
 	case a.Length > maxBufferedBody:
 		setReadDeadline(a.ctx, a.c, time.Time{})
@@ -38,10 +44,10 @@
 		return nil, false, err
 	case a.Length >= 0:
 		text = make([]byte, a.Length)
-		_, err := io.ReadFull(a.limited(), text)
+		_, err := io.ReadFull(a.Body, text)
 		return text, true, err
-	case !a.mayStream:
-		text, err = io.ReadAll(io.LimitReader(a.limited(), maxBufferedBody+1))
+	case !a.mayStream():
+		text, err = io.ReadAll(io.LimitReader(a.Body, maxBufferedBody+1))
 		if err == nil && len(text) > maxBufferedBody {
 			err = h1.Malformed("body exceeds the limit")
 		}
@@ -50,12 +56,7 @@
 	return a.bufferUntilPause()
 }
 
-// limited returns a reader of the body that fails at a pause of stallTimeout.
-func (a *answerBody) limited() io.Reader {
-	return &deadlineReader{ctx: a.ctx, c: a.c, src: a.Body, timeout: stallTimeout}
-}
-
-// bufferUntilPause reads a body of unknown length.
+// bufferUntilPause reads a body of unknown length, until it pauses or has been held back for long enough.
 func (a *answerBody) bufferUntilPause() (text []byte, whole bool, err error) {
 	pauses := a.detectPauses()
 	defer pauses.stop()
@@ -65,25 +66,29 @@
 		}
 		n, err := a.Read(text[len(text):cap(text)])
 		text = text[:len(text)+n]
+		if n > 0 && !a.holding {
+			pauses.holdUntil(time.Now().Add(clienttime.Hold(a.left())))
+			a.holding = a.turn.Hold(pauses.interrupt)
+		}
 		switch {
 		case errors.Is(err, io.EOF):
 			return text, true, nil
 		case errors.Is(err, errPaused):
 			if err := a.reopen(pauses, len(text)); err != nil {
-				return nil, false, err
+				return text, false, err
 			}
 			if len(text) > 0 {
 				return text, false, nil
 			}
 		case err != nil:
-			return nil, false, err
-		case len(text) > maxBufferedBody:
+			return text, false, err
+		case len(text) > maxBufferedBody, pauses.holdEnded():
 			return text, false, nil
 		}
 	}
 }
 
-// errPaused means that nothing has come for streamAfterPause.
+// errPaused means that nothing has come for a while, or that the answer was held back for long enough.
 var errPaused = errors.New("the answer pauses")
 
 // maxRecorded limits what is recorded of an answer in chunks, with its framing.
@@ -95,13 +100,19 @@
 	ctx      context.Context
 	c        *conns.Conn
 	src      io.Reader // what the connection reads otherwise
+	pause    time.Duration
+	holdEnds time.Time // the latest time of a pause; zero: not limited
 	records  bool
 	recorded []byte
+
+	mu          sync.Mutex
+	interrupted bool // reads end at once
+	stopped     bool // the connection is read without a pauseDetector again
 }
 
 // detectPauses starts to detect pauses on the body's connection, until stop is called.
 func (a *answerBody) detectPauses() *pauseDetector {
-	p := &pauseDetector{ctx: a.ctx, c: a.c, src: a.c.ReadLimit.R, records: !a.UntilClose}
+	p := &pauseDetector{ctx: a.ctx, c: a.c, src: a.c.ReadLimit.R, pause: clienttime.Pause(a.left()), records: !a.UntilClose}
 	if p.records {
 		ahead, _ := a.c.In.Peek(a.c.In.Buffered()) // never fails: it is buffered
 		p.recorded = slices.Clone(ahead)
@@ -110,11 +121,49 @@
 	return p
 }
 
-func (p *pauseDetector) stop() { p.c.ReadLimit.R = p.src }
+// stop ends the detection.
+func (p *pauseDetector) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopped = true
+	p.c.ReadLimit.R = p.src
+}
+
+// interrupt ends a pending read with errPaused, and all further ones. It may be called on any goroutine.
+func (p *pauseDetector) interrupt() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.stopped {
+		p.interrupted = true
+		setReadDeadline(p.ctx, p.c, pastTime)
+	}
+}
+
+// holdUntil ends reads at the given time at the latest.
+func (p *pauseDetector) holdUntil(at time.Time) { p.holdEnds = at }
+
+// holdEnded reports whether that time has come.
+func (p *pauseDetector) holdEnded() bool {
+	return !p.holdEnds.IsZero() && !time.Now().Before(p.holdEnds)
+}
+
+// limitRead sets the deadline of a read.
+func (p *pauseDetector) limitRead() {
+	at := time.Now().Add(p.pause)
+	if !p.holdEnds.IsZero() && p.holdEnds.Before(at) {
+		at = p.holdEnds
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.interrupted {
+		at = pastTime
+	}
+	setReadDeadline(p.ctx, p.c, at)
+}
 
 // Read implements io.Reader.
 func (p *pauseDetector) Read(b []byte) (int, error) {
-	setReadDeadline(p.ctx, p.c, time.Now().Add(streamAfterPause))
+	p.limitRead()
 	n, err := p.src.Read(b)
 	if p.records {
 		if len(p.recorded)+n > maxRecorded {
@@ -135,7 +184,7 @@
 		return nil // a body that ends with its connection has no decoder
 	}
 	a.c.In = bufio.NewReader(io.MultiReader(bytes.NewReader(pauses.recorded), &a.c.ReadLimit))
-	body, err := a.head.OpenBody(a.c.In, a.method)
+	body, err := a.head.OpenBody(a.c.In, a.message.method)
 	if err != nil {
 		return err
 	}
--- a/internal/node/attempt_time_test.go
+++ b/internal/node/attempt_time_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"otterstep/internal/clienttime"
 	"otterstep/internal/conns"
 	"otterstep/internal/operator"
 )
@@ -85,7 +86,7 @@
 		s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nmade ")
 			if reset {
-				<-time.After(2 * streamAfterPause) // an HTTP/1.1 client would have received the first part by now
+				<-time.After(2 * clienttime.MaxPause) // an HTTP/1.1 client would have received the first part by now
 				c.(*net.TCPConn).SetLinger(0)
 				return false
 			}
--- a/internal/node/malformed_test.go
+++ b/internal/node/malformed_test.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"otterstep/internal/clienttime"
 	"otterstep/internal/core"
 	"otterstep/internal/streaming"
 	"otterstep/policy"
@@ -39,17 +41,26 @@
 	}
 }
 
-// An interim response may precede the final one by any time: the stall timeout applies only after
+// stallTurn is a turn that counts the reports that its answer does not go on.
+type stallTurn struct {
+	fixedTurn
+	stalls *atomic.Int32
+}
+
+func (s stallTurn) Stalled() { s.stalls.Add(1) }
+
+// An interim response may precede the final one by any time: an answer counts as stalled only after
 // the first byte of a response.
 func TestInterimResponseStartsNoStallTimeout(t *testing.T) {
+	turn := stallTurn{permit, new(atomic.Int32)}
 	s := newServer(t, func(_ int64, _ *http.Request, c net.Conn) bool {
 		io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
-		time.Sleep(stallTimeout + 100*time.Millisecond)
+		time.Sleep(clienttime.MaxStall + 100*time.Millisecond)
 		io.WriteString(c, ok("hello"))
 		return true
 	})
-	if p := testUpstream(t, 8).roundTrip(t.Context(), at(s.addr), get(), time.Now().Add(testTimeout), permit); p.status != policy.OK {
-		t.Errorf("status %d, want served", p.status)
+	if p := testUpstream(t, 8).roundTrip(t.Context(), at(s.addr), get(), time.Now().Add(testTimeout), turn); p.status != policy.OK || turn.stalls.Load() != 0 {
+		t.Errorf("status %d, want served; stalled %d times", p.status, turn.stalls.Load())
 	}
 }
 
--- a/internal/node/slow_server_test.go
+++ b/internal/node/slow_server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -79,3 +80,38 @@
 		t.Error("the systems' buffers took no request as a whole")
 	}
 }
+
+// Guards against failures that are taken for broken answers, or cost their client's time, because a server writes the body
+// behind them slowly: the head says what has become of the request.
+func TestSlowFailureAnswersAreTriedElsewhere(t *testing.T) {
+	for name, head := range map[string]string{
+		"turned away": "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\n",
+		"error":       "HTTP/1.1 500 No\r\n",
+	} {
+		for framing, body := range map[string]string{"a length": "Content-Length: 100000\r\n\r\n", "chunks": "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n", "a small length": "Content-Length: 10\r\n\r\nno"} {
+			t.Run(name+" with "+framing, func(t *testing.T) {
+				s := newServer(t, func(n int64, _ *http.Request, c net.Conn) bool {
+					if n > 1 {
+						_, _ = io.WriteString(c, ok("served"))
+						return true
+					}
+					_, _ = io.WriteString(c, head+body)
+					_, _ = c.Read(make([]byte, 1)) // until the node gives up
+					return false
+				})
+				addr, _ := startNode(t, newRegistry(t, listedTarget(s, "s1"), listedTarget(s, "s2")))
+				class := "read"
+				if name == "turned away" {
+					class = "book" // an unsafe request may be tried again only if it has not run
+				}
+				began := time.Now()
+				if code, _, text := do(t, clientRequest(t, addr, class, "2.9")); code != http.StatusOK || text != "served" {
+					t.Errorf("%d %.60s", code, text)
+				}
+				if took := time.Since(began); took > 2900*time.Millisecond/2 {
+					t.Errorf("answered behind %v of the client's 2.9 s", took)
+				}
+			})
+		}
+	}
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -20,11 +20,8 @@
 	maxBufferedBody = 64 << 10 // maximum body of a buffered answer; larger ones are streamed
 	maxAnswerHead   = 16 << 10 // maximum status line and headers of an answer
 
-	// Maximum pause within a small answer. Servers write these in a few parts, so after a
-	// longer pause the rest is not expected: the declared length is wrong. Without this limit
-	// the attempt would block its request until the client's deadline.
-	stallTimeout     = 300 * time.Millisecond
-	streamAfterPause = 100 * time.Millisecond // pause after which an answer of unknown length is streamed instead of buffered
+	// trailerTimeout limits the wait for the trailers of an answer that the client has whole.
+	trailerTimeout = 300 * time.Millisecond
 
 	// Maximum pause of a server within a streamed answer, and within a body that is streamed to it. Servers hang for
 	// up to 25 s.
@@ -59,6 +56,9 @@
 	Begin() bool
 	ClaimAnswer() bool
 	RequestSent(left time.Duration)
+	Hold(release func()) bool
+	EndHold() bool
+	Stalled()
 }
 
 // Attempt implements core.Message.
@@ -230,9 +230,12 @@
 		return reply{status: policy.ConnectFailed, bodyConsumed: coming}
 	}
 	if coming {
-		t.RequestSent(m.body.rest.TimeForAnswer(m.timeLeft))
+		left := m.body.rest.TimeForAnswer(m.timeLeft)
+		t.RequestSent(left)
+		end = time.Now().Add(left)
 	}
-	p, reusable := u.read(ctx, c, m, t)
+	a := &serverAnswer{ctx: ctx, c: c, message: m, turn: t, end: end}
+	p, reusable := a.read()
 	p.bodyConsumed = coming
 	u.pool.Put(c, release() && reusable)
 	return p
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -97,6 +97,9 @@
 func (a fixedTurn) Begin() bool             { return bool(a) }
 func (fixedTurn) ClaimAnswer() bool         { return false }
 func (fixedTurn) RequestSent(time.Duration) {}
+func (fixedTurn) Hold(func()) bool          { return false }
+func (fixedTurn) EndHold() bool             { return true }
+func (fixedTurn) Stalled()                  {}
 
 // whole returns a completely buffered body.
 func whole(text string) *body {
--- a/policy/pick.go
+++ b/policy/pick.go
@@ -17,18 +17,28 @@
 		len(r.attempts) >= b.set.Limits.MaxAttempts || !s.acceptsWork() {
 		return false
 	}
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.inFlight && !b.set.Limits.SecondCopies {
+			return false
+		}
+	}
+	return r.mayRepeatAt(now, s) && b.coldBudget(s, now, b.unloadedLatency(r))
+}
+
+// mayRepeatAt reports whether an attempt at a server repeats no effect of those before it.
+func (r *request) mayRepeatAt(now time.Duration, s *server) bool {
 	for i := range r.attempts {
 		a := &r.attempts[i]
 		switch {
 		case a.neverRan:
 			continue
-		case a.inFlight && !b.set.Limits.SecondCopies, r.class.Effect == Unsafe:
+		case r.class.Effect == Unsafe:
 			return false
 		case r.class.Effect == Keyed && (now-a.sentAt >= r.class.Window || !r.class.sameScope(a, s)):
 			return false
 		}
 	}
-	return b.coldBudget(s, now, b.unloadedLatency(r))
+	return true
 }
 
 // mayRefuse reports whether a refusal's promise that a retry is safe holds.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -573,8 +573,7 @@
 
 // retry schedules a further attempt after a backoff, or answers now if none is possible in time.
 func (b *Balancer) retry(now time.Duration, r *request) {
-	first := time.Duration(float64(r.class.Aim) * backoffFraction)
-	delay := b.jitter(first << (len(r.attempts) - 1))
+	delay := b.backoff(r)
 	possible := slices.ContainsFunc(b.ready, func(s *server) bool {
 		return s.breaker != open && !r.tried(s) && b.maySend(now, r, s)
 	})
@@ -589,6 +588,12 @@
 	b.scheduleSweep(now)
 }
 
+// backoff is the delay before a request's next attempt.
+func (b *Balancer) backoff(r *request) time.Duration {
+	first := time.Duration(float64(r.class.Aim) * backoffFraction)
+	return b.jitter(first << (len(r.attempts) - 1))
+}
+
 // ---- timers
 
 // sweep checks every unfinished request: due retries, expired queued ones, overdue attempts.
@@ -599,6 +604,8 @@
 		r := b.unfinished[i]
 		switch {
 		case r.streaming, r.Uploading && r.inFlight > 0: // no answer is due yet
+		case r.stalledOnly():
+			b.retryStalled(now, r)
 		case r.inFlight > 0:
 			b.checkOverdue(now, r)
 		case now >= r.deadline:
--- a/policy/state.go
+++ b/policy/state.go
@@ -93,6 +93,7 @@
 	work       float64
 	unloaded   bool // no other attempt of this node was in flight at the server
 	silent     bool // already counted as a failure for lack of an answer
+	stalled    bool // its answer has begun and does not go on
 }
 
 type request struct {
@@ -104,6 +105,7 @@
 	attempts    []attempt
 	inFlight    int
 	retryAt     time.Duration // end of the backoff; 0: none
+	copyAt      time.Duration // end of the backoff before a copy beside stalled attempts
 	queued      bool
 	streaming   bool
 	noRetry     bool // no further attempt is possible
