[[web]]: a failure whose body comes slowly is held no longer than its client waits

What callers saw: a server's 500 or 503 whose body came slowly was read to its end, up to 64 KiB, before anything else was tried; the request's deadline then threw it away, and the client got 503 of the front's own at the end of its time.

Change: the failure is read on a goroutine of its own and held (core.AttemptHandle.Hold). Once it is stalled another attempt is made beside or in place of it, as the module says; at the end of the client's time it becomes the final answer and is streamed on. Behind a body that was streamed to the server no other attempt is possible, and it is passed on at once.

--- a/internal/web/exchange.go
+++ b/internal/web/exchange.go
@@ -71,14 +71,10 @@
 	status policy.Status // what it says of the request
 }
 
-// maxBufferedAnswer is the largest body of such an answer; longer ones are streamed to the
-// client at once.
-const maxBufferedAnswer = 64 << 10
-
 // Attempt implements core.Message.
-func (x *exchange) Attempt(ctx context.Context, to core.Server, _ time.Time, turn core.AttemptHandle) core.AttemptResult {
+func (x *exchange) Attempt(ctx context.Context, to core.Server, end time.Time, turn core.AttemptHandle) core.AttemptResult {
 	tracked := &trackedTurn{AttemptHandle: turn, exchange: x}
-	r := x.attempt(ctx, to, tracked)
+	r := x.attempt(ctx, to, end, tracked)
 	tracked.ended(r.Status)
 	if x.bodyError() != nil { // the client's fault, which must not count against the server
 		return core.AttemptResult{Status: policy.Cancelled, Rejected: true}
@@ -117,7 +113,7 @@
 	}
 }
 
-func (x *exchange) attempt(ctx context.Context, to core.Server, turn *trackedTurn) core.AttemptResult {
+func (x *exchange) attempt(ctx context.Context, to core.Server, end time.Time, turn *trackedTurn) core.AttemptResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(x.ctx, cancel)()
@@ -125,7 +121,7 @@
 		return core.AttemptResult{Status: policy.NotSent, Rejected: true} // the body is consumed, so no further attempt is possible
 	}
 	if x.front.h2 != nil && x.upgrade == "" {
-		return x.front.h2.attempt(ctx, x, to, turn)
+		return x.front.h2.attempt(ctx, x, to, end, turn)
 	}
 	c, err := x.front.pool.Get(ctx, to)
 	switch {
@@ -160,7 +156,7 @@
 		return core.AttemptResult{Status: policy.Reset}
 	}
 	sent, continueBody := x.sendRest(ctx, cancel, c, turn.AttemptHandle)
-	status, reusable := x.receive(c, turn.AttemptHandle, sent, continueBody, x.newStallLimit(cancel))
+	status, reusable := x.receive(c, end, turn, sent, continueBody, x.newStallLimit(cancel))
 	if sent != nil {
 		select {
 		case err := <-sent:
@@ -272,7 +268,7 @@
 }
 
 // receive reads the answer from c and buffers it or streams it to the client.
-func (x *exchange) receive(c *conns.Conn, turn core.AttemptHandle, sent chan error, continueBody chan struct{}, stall *stallLimit) (status policy.Status, reusable bool) {
+func (x *exchange) receive(c *conns.Conn, end time.Time, turn *trackedTurn, sent chan error, continueBody chan struct{}, stall *stallLimit) (status policy.Status, reusable bool) {
 	if sent == nil && x.answerPrecedesRequest(c) {
 		return policy.Reset, false
 	}
@@ -296,15 +292,11 @@
 	}
 	b = stall.limitBody(b)
 	v := verdict.Of(h.Code, h.Header)
-	if v.Retryable {
-		if held, rest, err := bufferBody(b); err != nil {
-			return policy.Reset, false
-		} else if rest == nil {
-			x.setFallback(&bufferedAnswer{h, held, v.Status})
-			return v.Status, !h.Closes && c.In.Buffered() == 0
-		} else { // too long to buffer
-			b.Reader = rest
-		}
+	if v.Retryable && sent == nil {
+		status, whole := x.handleFailure(&failure{
+			Head: h, body: b, verdict: v, turn: turn, end: end, interrupt: func() { c.SetReadDeadline(time.Unix(1, 0)) },
+		})
+		return status, whole && !h.Closes && c.In.Buffered() == 0
 	}
 	if !turn.ClaimAnswer() {
 		return policy.Cancelled, false
@@ -316,11 +308,11 @@
 	default:
 		answer.RequestPending = sent != nil
 	}
-	end := x.handoff.Send(answer)
-	if end == policy.OK {
-		end = v.Status
+	status = x.handoff.Send(answer)
+	if status == policy.OK {
+		status = v.Status
 	}
-	return end, end != policy.Reset && end != policy.Cancelled && !h.Closes && c.In.Buffered() == 0
+	return status, status != policy.Reset && status != policy.Cancelled && !h.Closes && c.In.Buffered() == 0
 }
 
 // answerPrecedesRequest waits for the first byte of an answer and reports that it can't be the answer to this request.
@@ -356,22 +348,6 @@
 	return h1.Head{}, h1.Malformed("more than %d interim responses", h1.MaxInterim)
 }
 
-// bufferBody reads a complete body of up to maxBufferedAnswer bytes. For a longer one it
-// returns a reader of the complete body instead.
-func bufferBody(b h1.Body) ([]byte, io.Reader, error) {
-	text, err := io.ReadAll(io.LimitReader(b, maxBufferedAnswer+1))
-	if err != nil {
-		return nil, nil, err
-	}
-	if len(text) > maxBufferedAnswer {
-		return nil, io.MultiReader(bytes.NewReader(text), b), nil
-	}
-	if _, err := b.Trailer(); err != nil {
-		return nil, nil, err
-	}
-	return text, nil, nil
-}
-
 func (x *exchange) setFallback(answer *bufferedAnswer) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/web/http2pool.go
+++ b/internal/web/http2pool.go
@@ -130,7 +130,7 @@
 	clear(m.conns)
 }
 
-func (m *http2Pool) attempt(ctx context.Context, x *exchange, to core.Server, turn *trackedTurn) core.AttemptResult {
+func (m *http2Pool) attempt(ctx context.Context, x *exchange, to core.Server, end time.Time, turn *trackedTurn) core.AttemptResult {
 	c, err := m.reserveStream(ctx, to)
 	switch {
 	case errors.Is(err, conns.ErrExhausted):
@@ -158,7 +158,7 @@
 		return core.AttemptResult{Status: statusOfHTTP2Error(err)}
 	}
 	defer resp.Body.Close()
-	return core.AttemptResult{Status: x.receiveStream(resp, turn.AttemptHandle, x.newStallLimit(cancel))}
+	return core.AttemptResult{Status: x.receiveStream(resp, end, turn, x.newStallLimit(cancel))}
 }
 
 // Texts of errors for which x/net exports no values. The tests of goaway_test.go show that they are still these.
@@ -235,20 +235,13 @@
 }
 
 // receiveStream buffers the answer from a stream or streams it to the client.
-func (x *exchange) receiveStream(resp *http.Response, turn core.AttemptHandle, stall *stallLimit) policy.Status {
+func (x *exchange) receiveStream(resp *http.Response, end time.Time, turn *trackedTurn, stall *stallLimit) policy.Status {
 	h := h1.Head{Code: resp.StatusCode, Header: resp.Header, TrailersWithLength: len(resp.Trailer) > 0}
 	b := stall.limitBody(h1.Body{Reader: resp.Body, Length: resp.ContentLength, Trailer: func() (http.Header, error) { return resp.Trailer, nil }})
 	v := verdict.Of(h.Code, h.Header)
-	if v.Retryable {
-		held, rest, err := bufferBody(b)
-		switch {
-		case err != nil:
-			return policy.Reset
-		case rest == nil:
-			x.setFallback(&bufferedAnswer{h, held, v.Status})
-			return v.Status
-		}
-		b.Reader = rest
+	if v.Retryable && x.rest == nil {
+		status, _ := x.handleFailure(&failure{Head: h, body: b, verdict: v, turn: turn, end: end, interrupt: func() { resp.Body.Close() }})
+		return status
 	}
 	if !turn.ClaimAnswer() {
 		return policy.Cancelled
--- a/internal/web/slow_server_test.go
+++ b/internal/web/slow_server_test.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,3 +93,45 @@
 		}
 	}
 }
+
+// Guards against failures that cost their client's time, or are cut off, because a server writes their bodies slowly: they
+// are tried elsewhere meanwhile, and the answer that is there at the end of that time is given.
+func TestSlowFailureAnswers(t *testing.T) {
+	const size = 20 << 10
+	for _, secondServer := range []bool{false, true} {
+		for _, http2Server := range []bool{false, true} {
+			t.Run(fmt.Sprintf("second server %v, HTTP/2 %v", secondServer, http2Server), func(t *testing.T) {
+				late := make(chan struct{})
+				defer time.AfterFunc(1200*time.Millisecond, func() { close(late) }).Stop()
+				var requests atomic.Int32
+				text := fmt.Sprintf("[[web]]\nlisten = \"127.0.0.1:0\"\n[[web.class]]\nname = \"all\"\naim = \"500ms\"\ndeadline = \"1s\"\n[web.upstream]\nhttp2 = %v\n", http2Server)
+				for n := range 2 {
+					text += fmt.Sprintf("[[web.server]]\nname = \"s%d\"\naddress = %q\n", n, startNetHTTPServer(t, http2Server, func(w http.ResponseWriter, q *http.Request) {
+						if requests.Add(1) > 1 && secondServer {
+							_, _ = io.WriteString(w, "served")
+							return
+						}
+						w.WriteHeader(http.StatusInternalServerError)
+						_, _ = w.Write(make([]byte, size/2))
+						_ = http.NewResponseController(w).Flush()
+						select {
+						case <-late:
+						case <-q.Context().Done():
+						}
+						_, _ = w.Write(make([]byte, size/2))
+					}))
+				}
+				r := &fixture{t: t}
+				r.start(text)
+				began := time.Now()
+				a := r.roundTrip("GET", getRequest("/x"))
+				switch took := time.Since(began); {
+				case secondServer && (a.code != http.StatusOK || a.body != "served" || took > time.Second):
+					t.Errorf("%d %.60q behind %v, %v; want the other server's answer in time", a.code, a.body, took, a.err)
+				case !secondServer && (a.code != http.StatusInternalServerError || len(a.body) != size || a.err != nil):
+					t.Errorf("%d, %d bytes of %d behind %v, %v", a.code, len(a.body), size, took, a.err)
+				}
+			})
+		}
+	}
+}
