[[web]]: a client that still sends its body gets the final answer

Cause: the front closed the connection half a second behind its answer, over unread bytes: a reset. A client that sends all before it reads saw only that.

Change: behind a final answer to a body that is still coming over HTTP/1.1 the connection is read and discarded for up to 3 s, or until the process ends its requests.

Measured: TestFinalAnswerReachesAClientThatStillSends failed before, 2 of 2: 'connection reset by peer' while the client sends 64 MB.

--- a/internal/framing/conn.go
+++ b/internal/framing/conn.go
@@ -1,6 +1,7 @@
 package framing
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -23,6 +24,9 @@
 	interrupted atomic.Bool // see Interrupt
 }
 
+// discardBuffer is the size of the reads of Discard.
+const discardBuffer = 4 << 10
+
 // http2Bytes is what net/http holds for a connection of HTTP/2 beside what one of HTTP/1 takes.
 const http2Bytes = 48 << 10
 
@@ -75,6 +79,21 @@
 	return n, err
 }
 
+// Discard reads and discards what the client still sends of a body, for up to limit or until ctx ends: many clients read no
+// answer before they have sent all, and a close over unread bytes resets the connection. Nothing can be read afterwards.
+func (c *Conn) Discard(ctx context.Context, limit time.Duration) {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(limit)) // a broken connection shows in the read
+	end := func() { _ = c.Conn.SetReadDeadline(time.Unix(1, 0)) }
+	defer end()
+	defer context.AfterFunc(ctx, end)()
+	scratch := make([]byte, discardBuffer)
+	for {
+		if _, err := c.Conn.Read(scratch); err != nil {
+			return
+		}
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.Requests.Close()
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -261,6 +261,7 @@
 				w.Header().Set("Connection", "close")
 			}
 			f.writeFinal(w, q.exchange, a, id)
+			q.exchange.discardRest(w, r)
 			return
 		case <-q.exchange.ctx.Done():
 			f.abortDisconnected(w, q.exchange, ticket)
--- a/internal/web/slow_server_test.go
+++ b/internal/web/slow_server_test.go
@@ -94,6 +94,31 @@
 	}
 }
 
+// Guards against final answers that are lost to the reset of the close, as their client was still sending: a server reads
+// nothing of a request that is larger than the systems' buffers.
+func TestFinalAnswerReachesAClientThatStillSends(t *testing.T) {
+	const size = 64 << 20
+	for _, framing := range []string{"a length", "chunks"} {
+		t.Run(framing, func(t *testing.T) {
+			r := &fixture{t: t}
+			r.start(fmt.Sprintf("[[web]]\nlisten = \"127.0.0.1:0\"\n[[web.server]]\nname = \"a\"\naddress = %q\n"+
+				"[[web.class]]\nname = \"all\"\naim = \"500ms\"\ndeadline = \"1s\"\n[web.limits]\nstall = \"2s\"\n", stuckserver.New(t).Addr()))
+			c := r.dial()
+			defer c.Close()
+			head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", size)
+			if framing == "chunks" {
+				head = fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", size)
+			}
+			if _, err := io.WriteString(c, head+strings.Repeat("b", size)); err != nil {
+				t.Errorf("cut off while it sends: %v", err)
+			}
+			if a := readResponse(bufio.NewReader(c), "POST"); a.err != nil || a.code < 500 {
+				t.Errorf("%d, %v, want an error in place of an answer", a.code, a.err)
+			}
+		})
+	}
+}
+
 // Guards against failures that cost their client's time, or are cut off, because a server writes their bodies slowly: they
 // are tried elsewhere meanwhile, and the answer that is there at the end of that time is given.
 func TestSlowFailureAnswers(t *testing.T) {
--- a/internal/web/upload.go
+++ b/internal/web/upload.go
@@ -47,6 +47,24 @@
 	}
 }
 
+// discardTime is how long the rest of a body is read behind an early answer.
+const discardTime = 3 * time.Second
+
+// discardRest reads and discards what still comes of the body behind an answer, so that a client that reads none before it
+// has sent all gets it. No attempt may be in progress.
+func (x *exchange) discardRest(w http.ResponseWriter, r *http.Request) {
+	conn := framingOf(r)
+	if x.rest == nil || x.bodyEnded.Load() || conn == nil {
+		return
+	}
+	if http.NewResponseController(w).Flush() != nil {
+		return
+	}
+	x.stopBody()
+	x.restClaim.Close()
+	conn.Discard(x.front.requestCtx, discardTime)
+}
+
 // newUpload starts to read the body for an attempt. The caller must call close.
 func (x *exchange) newUpload(turn core.AttemptHandle, end context.CancelFunc) *upload {
 	stall := x.front.opt.Limits.Stall.Duration
