Answers in very small chunks are streamed instead of being given up

What callers saw: 503 in place of an answer of 5 MB in chunks of a byte.

Measured: the new case of TestLargeAnswersAreForwardedUnchanged failed before (503) and passes.

--- a/internal/node/answerbody.go
+++ b/internal/node/answerbody.go
@@ -80,6 +80,9 @@
 			if len(text) > 0 {
 				return text, false, nil
 			}
+			if pauses.full() {
+				return nil, false, h1.Malformed("framing before a body exceeds the limit")
+			}
 		case err != nil:
 			return text, false, err
 		case len(text) > maxBufferedBody, pauses.holdEnded():
@@ -91,7 +94,7 @@
 // errPaused means that nothing has come for a while, or that the answer was held back for long enough.
 var errPaused = errors.New("the answer pauses")
 
-// maxRecorded limits what is recorded of an answer in chunks, with its framing.
+// maxRecorded is how much is recorded of an answer in chunks, with its framing, at most but for the last read.
 const maxRecorded = 4 * maxBufferedBody
 
 // pauseDetector ends reads from a connection with errPaused. It records what it reads of a body in chunks, as their
@@ -161,14 +164,17 @@
 	setReadDeadline(p.ctx, p.c, at)
 }
 
-// Read implements io.Reader.
+// full reports whether no more can be recorded.
+func (p *pauseDetector) full() bool { return p.records && len(p.recorded) >= maxRecorded }
+
+// Read implements io.Reader. It ends with a pause where no more can be recorded: the body has very small chunks.
 func (p *pauseDetector) Read(b []byte) (int, error) {
+	if p.full() {
+		return 0, errPaused
+	}
 	p.limitRead()
 	n, err := p.src.Read(b)
 	if p.records {
-		if len(p.recorded)+n > maxRecorded {
-			return 0, h1.Malformed("framing of a body exceeds the limit")
-		}
 		p.recorded = append(p.recorded, b[:n]...)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && p.ctx.Err() == nil {
--- a/internal/node/stream_test.go
+++ b/internal/node/stream_test.go
@@ -269,6 +269,17 @@
 			io.WriteString(c, "0\r\nA: b\r\n\r\n")
 			return true
 		},
+		"chunks of a byte": func(c net.Conn, body []byte) bool {
+			text := []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for i, b := range body {
+				if text = append(text, '1', '\r', '\n', b, '\r', '\n'); i%4000 == 0 {
+					c.Write(text)
+					text = text[:0]
+				}
+			}
+			c.Write(append(text, "0\r\n\r\n"...))
+			return true
+		},
 		"ended by close": func(c net.Conn, body []byte) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
 			c.Write(body)
