Inspections count stalled answers, and those given at their deadline

TestHeldAnswerIsGivenAtTheDeadline checks the count; TestHeldAnswerIsGivenAtTheShutdown is new: a shutdown makes requests due earlier, also while an answer is held back.

--- a/internal/core/hold_test.go
+++ b/internal/core/hold_test.go
@@ -92,6 +92,9 @@
 			}
 			time.Sleep(10 * time.Second)
 			v, err := l.Inspect(t.Context())
+			if class := int(seed % 3); held && v.AtDeadline[class] != 1 {
+				t.Errorf("seed %d: %d answers counted that were held back until the deadline", seed, v.AtDeadline[class])
+			}
 			if err != nil || v.Requests != 0 || v.Open != 0 || v.InFlight != 0 || m.cutOff.Load() != 0 {
 				t.Errorf("seed %d: state left over: %+v, %v; %d cut off", seed, v, err, m.cutOff.Load())
 			}
@@ -101,3 +104,42 @@
 		t.Errorf("only %d of 300 requests had an answer that was held back at their deadline", atDeadline)
 	}
 }
+
+// attemptFunc is a function as a Message.
+type attemptFunc func(context.Context, AttemptHandle) AttemptResult
+
+// Attempt implements Message.
+func (f attemptFunc) Attempt(ctx context.Context, _ Server, _ time.Time, turn AttemptHandle) AttemptResult {
+	return f(ctx, turn)
+}
+
+// Guards against answers that are cut off by a shutdown while they are held back: their requests are due earlier then.
+func TestHeldAnswerIsGivenAtTheShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, stop := start(t, 1, 3)
+		defer stop()
+		released := make(chan struct{})
+		claimed := make(chan bool, 1)
+		answers := make(chan Answer, 1)
+		m := attemptFunc(func(ctx context.Context, turn AttemptHandle) AttemptResult {
+			if !turn.Begin() || !turn.Hold(func() { close(released) }) {
+				return AttemptResult{Status: policy.NotSent}
+			}
+			select {
+			case <-released:
+			case <-ctx.Done():
+			}
+			claimed <- turn.ClaimAnswer()
+			return AttemptResult{Status: policy.OK}
+		})
+		began := time.Now()
+		if _, ok := l.Submit(Request{Name: "a", Deadline: l.Clock().Now() + 2*time.Second, Message: m, Answers: answers}); !ok {
+			t.Fatal("request not accepted")
+		}
+		synctest.Wait()
+		l.ShutDownIn(500 * time.Millisecond)
+		if !<-claimed || time.Since(began) > 500*time.Millisecond || len(answers) != 0 {
+			t.Errorf("not given behind %v, %d other answers", time.Since(began), len(answers))
+		}
+	})
+}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -89,6 +89,8 @@
 	counts     [][NumOutcomes]int64 // by class
 	aims       []time.Duration      // by class; 0: none, or one that scales with the request's work
 	late       []int64              // by class: requests served after the class's aim
+	stalled    []int64              // by class: attempts whose answer has begun and did not go on
+	atDeadline []int64              // by class: requests that ended with an answer that was held back until their deadline
 	shutdownAt time.Duration        // shutdown time by which answers are due; 0: no shutdown announced
 	timers     timerHeap
 	queue      []func()
@@ -101,6 +103,7 @@
 		ids:    newRequestIDs(set.Classes),
 		counts: make([][NumOutcomes]int64, len(set.Classes)),
 		aims:   make([]time.Duration, len(set.Classes)), late: make([]int64, len(set.Classes)),
+		stalled: make([]int64, len(set.Classes)), atDeadline: make([]int64, len(set.Classes)),
 		requests: map[policy.RequestID]*Pending{}, servers: map[policy.ServerID]Server{},
 	}
 	for i, c := range set.Classes {
@@ -251,7 +254,10 @@
 
 // Stalled reports that an attempt's answer has begun and does not go on; see policy.Balancer.Stalled.
 func (m *Machine) Stalled(now time.Duration, a *Attempt) {
-	m.attemptEvent(now, a, (*policy.Balancer).Stalled)
+	m.attemptEvent(now, a, func(b *policy.Balancer, now time.Duration, id policy.RequestID, index int) {
+		m.stalled[a.Pending.class]++
+		b.Stalled(now, id, index)
+	})
 }
 
 func (m *Machine) attemptEvent(now time.Duration, a *Attempt, event func(*policy.Balancer, time.Duration, policy.RequestID, int)) {
@@ -280,12 +286,15 @@
 // View is a snapshot of a pool's state for operators.
 type View struct {
 	policy.View
-	Listed   map[policy.ServerID]Server // the servers in View.Servers
-	Counts   [][NumOutcomes]int64       // ended requests, by class and Outcome
-	Late     []int64                    // requests served after their class's aim, by class
-	Requests int                        // unanswered or with attempts in flight
-	Timers   int
-	Members  int // listed servers in any state
+	Listed  map[policy.ServerID]Server // the servers in View.Servers
+	Counts  [][NumOutcomes]int64       // ended requests, by class and Outcome
+	Late    []int64                    // requests served after their class's aim, by class
+	Stalled []int64                    // attempts whose answer has begun and did not go on, by class
+	// AtDeadline counts requests that ended with an answer that was held back until their deadline, by class.
+	AtDeadline []int64
+	Requests   int // unanswered or with attempts in flight
+	Timers     int
+	Members    int // listed servers in any state
 }
 
 // Inspect copies the state. Its cost is proportional to the number of listed servers.
@@ -293,6 +302,7 @@
 	m.now = max(m.now, now)
 	v := View{
 		View: m.balancer.Inspect(m.now), Counts: slices.Clone(m.counts), Late: slices.Clone(m.late),
+		Stalled: slices.Clone(m.stalled), AtDeadline: slices.Clone(m.atDeadline),
 		Requests: len(m.requests), Timers: len(m.timers), Members: len(m.servers),
 	}
 	v.Listed = make(map[policy.ServerID]Server, len(v.Servers))
@@ -458,6 +468,7 @@
 func (m *Machine) claimHeldAnswer(r *Pending) {
 	for _, a := range r.attempts {
 		if !a.ended && !r.answered && a.claimHeld() {
+			m.atDeadline[r.class]++
 			m.answerClaimed(a)
 			m.emit(Action{Kind: ActionRelease, Attempt: a})
 		}
--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -138,6 +138,8 @@
 			by[kind.String()] = n[kind]
 		}
 		by["late"] = view.Late[class] // included in those served
+		by["stalled"] = view.Stalled[class]
+		by["at_deadline"] = view.AtDeadline[class] // included in those served
 		all[name(class)] = by
 	}
 	return all
