--- a/internal/clienttime/clienttime.go
+++ b/internal/clienttime/clienttime.go
@@ -7,6 +7,8 @@
 const (
 	// reserve is the part of the client's time that is left for what comes behind a wait or a hold.
 	reserve = 0.75
+	// maxHold is the longest hold, whatever the client has left: to hold an answer back for 2 s loses the request.
+	maxHold = time.Second
 	// MaxStall is the longest wait within an answer after which another attempt is worth its work. Servers write small
 	// answers in few parts.
 	MaxStall = 300 * time.Millisecond
@@ -17,7 +19,7 @@
 // Hold returns how long the beginning of an answer may be held back where the client has left. Until then another attempt
 // can take its place; behind it enough is left for that one.
 func Hold(left time.Duration) time.Duration {
-	return time.Duration((1 - reserve) * float64(max(0, left)))
+	return min(maxHold, time.Duration((1-reserve)*float64(max(0, left))))
 }
 
 // Stall returns how long an answer may take from its first byte on until another attempt is worth while. The attempt itself
