[[web]]: a client that still sends its body gets an early answer of its server too

What callers saw: a server's answer to a body that is still coming (413, say) was passed on, and lost to the reset of the close half a second later.

Measured: TestEarlyAnswerReachesAClientThatStillSends fails without the line ('connection reset by peer' while 64 MB are sent).

--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -255,6 +255,7 @@
 			}
 		case answer := <-q.exchange.handoff.Answers():
 			f.relay(w, r, q.exchange, answer)
+			q.exchange.discardRest(w, r)
 			return
 		case a := <-answers:
 			if q.exchange.rest != nil { // the unread rest of the body follows on the connection
--- a/internal/web/slow_server_test.go
+++ b/internal/web/slow_server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -119,6 +120,39 @@
 	}
 }
 
+// The same for a server that answers before it has read the body.
+func TestEarlyAnswerReachesAClientThatStillSends(t *testing.T) {
+	const size = 64 << 20
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		s, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer s.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(s)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(s, "HTTP/1.1 413 Too large\r\nContent-Length: 2\r\n\r\nno")
+		_, _ = s.Read(make([]byte, 1)) // leaves all else unread
+		<-t.Context().Done()
+	}()
+	r := &fixture{t: t}
+	r.start(fmt.Sprintf("[[web]]\nlisten = \"127.0.0.1:0\"\n[[web.server]]\nname = \"a\"\naddress = %q\n", l.Addr()))
+	c := r.dial()
+	defer c.Close()
+	if _, err := io.WriteString(c, fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", size)+strings.Repeat("b", size)); err != nil {
+		t.Errorf("cut off while it sends: %v", err)
+	}
+	if a := readResponse(bufio.NewReader(c), "POST"); a.err != nil || a.code != http.StatusRequestEntityTooLarge {
+		t.Errorf("%d, %v, want the server's 413", a.code, a.err)
+	}
+}
+
 // Guards against failures that cost their client's time, or are cut off, because a server writes their bodies slowly: they
 // are tried elsewhere meanwhile, and the answer that is there at the end of that time is given.
 func TestSlowFailureAnswers(t *testing.T) {
