[[web]]: no deadline is set through a handler that has returned

Cause, by the detector's trace: an attempt stops the client's body (bodyrate.Reader.Stop, SetReadDeadline) while the request's handler returns; over HTTP/2 net/http takes the ResponseWriter apart then, so the call may also find nil and crash the process. The handler waits for whoever reads the body, but not for an attempt that only stops it.

Change: the handler detaches the body before it returns; no deadline is set through it afterwards, and reads fail.

TestDetachedReaderSetsNoDeadline forces the order.

--- a/internal/bodyrate/bodyrate.go
+++ b/internal/bodyrate/bodyrate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -22,9 +23,11 @@
 // Reader reads a body within limits. Only time spent in Read counts, so a reader that is slow to ask for more does
 // not blame the client. Read must not be called concurrently; the other methods are safe for concurrent use.
 type Reader struct {
-	src     io.Reader
-	control *http.ResponseController
-	limits  Limits
+	src    io.Reader
+	limits Limits
+
+	mu      sync.Mutex
+	control *http.ResponseController // nil once detached
 
 	received int64
 	waited   time.Duration
@@ -42,7 +45,26 @@
 func (r *Reader) Stop() {
 	r.stopped.Store(true)
 	r.arrival.end()
-	_ = r.control.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection has ended
+	r.setReadDeadline(time.Unix(1, 0))
+}
+
+// Detach is called before the request's handler returns: its ResponseController may not be used afterwards, by whoever
+// still holds the Reader. All further reads fail.
+func (r *Reader) Detach() {
+	r.stopped.Store(true)
+	r.arrival.end()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.control = nil
+}
+
+// setReadDeadline sets the deadline of reads, unless the Reader is detached.
+func (r *Reader) setReadDeadline(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.control != nil {
+		_ = r.control.SetReadDeadline(at) // a broken connection fails in the read
+	}
 }
 
 // WaiveRate lifts the minimum rate; Pause still holds.
@@ -51,7 +73,7 @@
 // Read implements io.Reader. At the body's end it clears the deadline, which would else end the wait for the answer.
 func (r *Reader) Read(b []byte) (int, error) {
 	began := time.Now()
-	_ = r.control.SetReadDeadline(r.deadline(began)) // a broken connection fails in the read
+	r.setReadDeadline(r.deadline(began))
 	if r.stopped.Load() {
 		return 0, ErrStopped
 	}
@@ -65,7 +87,7 @@
 		r.arrival.end()
 	}
 	if errors.Is(err, io.EOF) && !r.stopped.Load() {
-		_ = r.control.SetReadDeadline(time.Time{})
+		r.setReadDeadline(time.Time{})
 	}
 	return n, err
 }
--- a/internal/bodyrate/bodyrate_test.go
+++ b/internal/bodyrate/bodyrate_test.go
@@ -66,3 +66,33 @@
 func (*connResponseWriter) Header() http.Header           { return http.Header{} }
 func (*connResponseWriter) WriteHeader(int)               {}
 func (d *connResponseWriter) Write(b []byte) (int, error) { return d.Conn.Write(b) }
+
+// deadlineRecorder is a ResponseWriter that counts the deadlines that are set through it.
+type deadlineRecorder struct {
+	connResponseWriter
+	set int
+}
+
+func (d *deadlineRecorder) SetReadDeadline(time.Time) error {
+	d.set++
+	return nil
+}
+
+// Guards against a crash: over HTTP/2 net/http takes the ResponseWriter apart once its handler has returned, while an
+// attempt may still stop the body.
+func TestDetachedReaderSetsNoDeadline(t *testing.T) {
+	in, out := net.Pipe()
+	defer in.Close()
+	defer out.Close()
+	w := &deadlineRecorder{}
+	r := NewReader(in, http.NewResponseController(w), Limits{BytesPerSecond: minRate})
+	r.Stop()
+	if w.set != 1 {
+		t.Fatalf("%d deadlines set by Stop", w.set)
+	}
+	r.Detach()
+	r.Stop()
+	if n, err := r.Read(make([]byte, 1)); n != 0 || err != ErrStopped || w.set != 1 {
+		t.Errorf("%d bytes, %v, %d deadlines set behind the handler", n, err, w.set-1)
+	}
+}
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -435,6 +435,7 @@
 		unhookDrain()
 		unhookClient()
 		x.restClaim.Close()
+		x.body.Detach()
 		f.bufferedBytes.Add(-reserved)
 		f.memory.Bodies.Release(reserved)
 		x.releaseUpload()
