Timers of a request's earlier deadline no longer end it

What was seen: TestServerThatStopsReadingABody (client and server HTTP/2) failed in 2 of 2 runs of internal/node and internal/web together with the race detector, and in 6 and 7 of two times 40 alone: 504 "no answer in time" where 502 is wanted.

Cause: RequestSent sets a request's deadline anew, and the timers of the one before stay.

Evidence: a trace of the failing runs: deadline of the attempts 197.62 ms, old backstop at 197.54 to 197.87 ms, expiry at 197.93 ms.

Change: each setting of the deadline has a number; timers of an older one do nothing. The backstop is scheduled when the attempts' time has ended, so it never comes before.

--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -22,6 +22,7 @@
 	class           int
 	attemptDeadline time.Duration // when attempts are abandoned
 	deadline        time.Duration // when the client gives up
+	deadlineChanges int           // how often the deadline was set
 	lateFrom        time.Duration // answers from this time on miss the class's aim; 0: no aim
 	uploading       bool          // the request is still being received from the client
 	answered        bool
@@ -439,21 +440,34 @@
 	left := max(0, deadline-m.now)
 	r.deadline = m.now + left
 	r.attemptDeadline = r.deadline - min(clientMargin, left/2)
+	r.deadlineChanges++
 	return r.attemptDeadline - m.now
 }
 
-// scheduleDeadline schedules the timers that end a request by its client's deadline.
+// scheduleDeadline schedules the timers that end a request by its client's deadline: its attempts first, then the request.
+// Once the deadline has changed again they do nothing.
 func (m *Machine) scheduleDeadline(r *Pending) {
 	left := r.deadline - m.now
-	m.schedule(r.attemptDeadline, func() { m.expire(r) })
-	m.schedule(r.deadline-min(backstopMargin, left/4), func() { m.backstop(r) })
+	backstopAt := r.deadline - min(backstopMargin, left/4)
+	change := r.deadlineChanges
+	m.schedule(r.attemptDeadline, func() {
+		if r.deadlineChanges != change {
+			return
+		}
+		m.expire(r)
+		m.schedule(backstopAt, func() {
+			if r.deadlineChanges == change {
+				m.backstop(r)
+			}
+		})
+	})
 }
 
 // expire ends a request's wait shortly before the client's deadline. If an attempt holds an answer back, that becomes the
 // final one: its server still gives it. Otherwise the attempts in flight are abandoned; the module receives these as
 // time-outs of an open request and chooses the final answer.
 func (m *Machine) expire(r *Pending) {
-	if m.now < r.attemptDeadline || r.uploading { // RequestSent has changed the deadline, or will
+	if r.uploading { // RequestSent will change the deadline
 		return
 	}
 	m.claimHeldAnswer(r)
@@ -478,7 +492,7 @@
 // backstop answers a request that the module has not answered shortly before the client's
 // deadline, so that every request is answered in time.
 func (m *Machine) backstop(r *Pending) {
-	if m.now < r.attemptDeadline || r.uploading && r.inFlight > 0 {
+	if r.uploading && r.inFlight > 0 {
 		return
 	}
 	if !r.answered {
