Connections of servers that send unasked bytes settle for longer before their reuse

Cause: a second answer that comes later than the 10 ms for which a connection settles meets the connection's next request, within some ten microseconds. On one machine the system acknowledges that request at once, so PrecedesRequest does not tell.

Change: a server that has sent bytes on an idle connection within the last minute has its connections left alone for 100 ms in place of 10 ms, at both fronts. Sound servers see no change.

TestConnectionsSettleLongerBehindUnaskedBytes: its case "unsettled" is a reuse before the change.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -42,9 +43,10 @@
 type Pool struct {
 	opt Options
 
-	mu   sync.Mutex
-	idle map[core.Server][]*Conn // most recently used last
-	open int
+	mu      sync.Mutex
+	idle    map[core.Server][]*Conn // most recently used last
+	open    int
+	unasked map[core.Server]time.Time // when a server last sent bytes on an idle connection; forgotten by Sweep
 }
 
 // Conn is a connection to one incarnation of a server: a restart makes it another one.
@@ -64,6 +66,13 @@
 // DefaultSettleTime is the SettleTime for servers whose stray second answers come some milliseconds late.
 const DefaultSettleTime = 10 * time.Millisecond
 
+// The connections of a server that has sent bytes on an idle one settle for longer: its second answers come later on a
+// busy machine, and may cross with a request.
+const (
+	unaskedSettleTime = 100 * time.Millisecond
+	unaskedMemory     = time.Minute
+)
+
 // ErrExhausted means that the pool's limit is reached; it says nothing about the server.
 var ErrExhausted = errors.New("connection pool exhausted: all connections to servers are in use")
 
@@ -72,7 +81,7 @@
 	if o.Dial == nil {
 		o.Dial = new(net.Dialer).DialContext
 	}
-	return &Pool{opt: o, idle: map[core.Server][]*Conn{}}
+	return &Pool{opt: o, idle: map[core.Server][]*Conn{}, unasked: map[core.Server]time.Time{}}
 }
 
 // Get returns an idle connection that has settled, is not too old and is still open, or else
@@ -82,7 +91,8 @@
 	for {
 		list := p.idle[to]
 		i := len(list) - 1
-		for i >= 0 && time.Since(list[i].idleSince) < p.opt.SettleTime {
+		settleTime := p.settleTime(to)
+		for i >= 0 && time.Since(list[i].idleSince) < settleTime {
 			i--
 		}
 		if i < 0 {
@@ -90,7 +100,7 @@
 		}
 		c := list[i]
 		p.idle[to] = slices.Delete(list, i, i+1)
-		if time.Since(c.idleSince) < p.opt.MaxIdle && c.reusable() {
+		if p.usable(c) {
 			p.mu.Unlock()
 			return c, nil
 		}
@@ -113,6 +123,26 @@
 	return c, nil
 }
 
+// settleTime returns the minimum idle time of a server's connections; p.mu must be held.
+func (p *Pool) settleTime(to core.Server) time.Duration {
+	if last, sent := p.unasked[to]; sent && time.Since(last) < unaskedMemory {
+		return max(p.opt.SettleTime, unaskedSettleTime)
+	}
+	return p.opt.SettleTime
+}
+
+// usable reports whether an idle connection is not too old, still open and without unread data; p.mu must be held.
+func (p *Pool) usable(c *Conn) bool {
+	if time.Since(c.idleSince) >= p.opt.MaxIdle {
+		return false
+	}
+	state := c.inspect()
+	if state == connUnread {
+		p.unasked[c.to] = time.Now()
+	}
+	return state == connQuiet
+}
+
 func (p *Pool) dial(ctx context.Context, to core.Server) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.opt.ConnectTimeout)
 	defer cancel()
@@ -179,17 +209,18 @@
 		p.close(c)
 	}
 	delete(p.idle, to)
+	delete(p.unasked, to)
 }
 
 // Sweep closes idle connections that are too old or that the server has closed, to free
-// their file descriptors.
+// their file descriptors, and forgets what servers sent long ago.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for to, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if time.Since(c.idleSince) < p.opt.MaxIdle && c.reusable() {
+			if p.usable(c) {
 				kept = append(kept, c)
 			} else {
 				p.close(c)
@@ -200,6 +231,7 @@
 			delete(p.idle, to)
 		}
 	}
+	maps.DeleteFunc(p.unasked, func(_ core.Server, last time.Time) bool { return time.Since(last) >= unaskedMemory })
 }
 
 // Close closes all idle connections. Those in use are not affected.
@@ -236,7 +268,7 @@
 
 // Unasked reports, without blocking, that bytes have come from the server before the next request was written, or
 // that it has closed the connection. No answer to that request can follow.
-func (c *Conn) Unasked() bool { return c.In.Buffered() > 0 || !c.reusable() }
+func (c *Conn) Unasked() bool { return c.In.Buffered() > 0 || c.inspect() != connQuiet }
 
 // PrecedesRequest reports that what has come from the server can't answer the request that was written last, since the
 // server's machine had not received its head by then: a segment that answers a request acknowledges it too. body is
@@ -256,18 +288,33 @@
 	return err == nil && queue == nil && unacknowledged > body
 }
 
-// reusable reports, without blocking, whether an idle connection is still open and has no
-// unread data. A close detected here does not cost a request.
-func (c *Conn) reusable() bool {
+// connState is what can be told of a connection on which no answer is awaited.
+type connState uint8
+
+const (
+	connQuiet  connState = iota // open, nothing has come
+	connUnread                  // bytes have come
+	connClosed
+)
+
+// inspect returns the state of an idle connection, without blocking. A close detected here does not cost a request.
+func (c *Conn) inspect() connState {
 	raw, err := c.socket.SyscallConn()
 	if err != nil {
-		return false
+		return connClosed
 	}
 	var b [1]byte
+	var n int
 	var peek error
 	err = raw.Read(func(fd uintptr) bool {
-		_, _, peek = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, peek = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && errors.Is(peek, syscall.EAGAIN)
+	switch {
+	case err == nil && errors.Is(peek, syscall.EAGAIN):
+		return connQuiet
+	case err == nil && peek == nil && n > 0:
+		return connUnread
+	}
+	return connClosed
 }
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -69,9 +69,7 @@
 			defer remote.Close()
 			p.Put(first, true)
 			if c.spoil(remote); name == "closed" || name == "unread" {
-				for until := time.Now().Add(10 * time.Second); first.reusable() && time.Now().Before(until); {
-					time.Sleep(time.Millisecond)
-				}
+				awaitNotQuiet(first)
 			}
 			second := get(t, p, to)
 			if open, _ := p.Count(); (second == first) != (c.again == 1) || open != c.open {
@@ -86,6 +84,72 @@
 	}
 }
 
+// awaitNotQuiet waits until bytes or a close have come on an idle connection.
+func awaitNotQuiet(c *Conn) {
+	for until := time.Now().Add(10 * time.Second); c.inspect() == connQuiet && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against second answers that come so late that they meet a connection's next request: the connections of a server
+// that has sent bytes nobody asked for are left alone for longer, for a while.
+func TestConnectionsSettleLongerBehindUnaskedBytes(t *testing.T) {
+	const betweenSettleTimes = (DefaultSettleTime + unaskedSettleTime) / 2
+	nothing := func(*Pool, core.Server) {}
+	aMinutePasses := func(p *Pool, to core.Server) { p.unasked[to] = p.unasked[to].Add(-unaskedMemory) }
+	for name, c := range map[string]struct {
+		spoils       bool                     // the server sends bytes on an idle connection
+		then         func(*Pool, core.Server) // what happens behind them
+		idleFor      time.Duration
+		sameConn     bool
+		rememberedBy int // servers, behind a sweep
+	}{
+		"sound server":           {false, nothing, betweenSettleTimes, true, 0},
+		"unsettled":              {true, nothing, betweenSettleTimes, false, 1},
+		"settled":                {true, nothing, 2 * unaskedSettleTime, true, 1},
+		"bytes came long ago":    {true, aMinutePasses, betweenSettleTimes, true, 0},
+		"the server was removed": {true, (*Pool).Drop, betweenSettleTimes, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			to, came := startListener(t)
+			p := New(Options{MaxIdle: time.Hour, ConnectTimeout: 10 * time.Second, SettleTime: DefaultSettleTime, MaxConns: 8})
+			defer p.Close()
+			first := get(t, p, to)
+			remote := <-came
+			defer remote.Close()
+			p.Put(first, true)
+			if c.spoils {
+				_, _ = remote.Write([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+				awaitNotQuiet(first)
+			}
+			idleSince(p, first, time.Hour/2)
+			second := get(t, p, to)
+			if (second == first) == c.spoils {
+				t.Fatalf("connection reused: %v", second == first)
+			}
+			c.then(p, to)
+			p.Put(second, true)
+			idleSince(p, second, c.idleFor)
+			third := get(t, p, to)
+			if (third == second) != c.sameConn {
+				t.Errorf("behind %v: connection reused: %v", c.idleFor, third == second)
+			}
+			p.Put(third, false)
+			p.Sweep()
+			if len(p.unasked) != c.rememberedBy {
+				t.Errorf("%d servers are remembered, want %d", len(p.unasked), c.rememberedBy)
+			}
+		})
+	}
+}
+
+// idleSince makes a pooled connection one that has been idle for so long.
+func idleSince(p *Pool, c *Conn, idleFor time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.idleSince = time.Now().Add(-idleFor)
+}
+
 // The connection limit holds: idle connections are evicted to make room, busy ones are not,
 // and a dropped server keeps no idle connections.
 func TestConnectionLimit(t *testing.T) {
