Failed requests are logged with their id and what became of each attempt

Change: both fronts log each request that ends without an answer from a server (502 and 504 of their own): id, class, outcome, time, and for each attempt the server, what became of it (broken off, timed out, in progress, ...) and behind how long. core.Answer carries the attempts, for these outcomes only. At most ten lines a second, each says how many were left out; 128 bytes of an id. Refusals are counted, not logged: they are many by design.

Tests: TestFailedRequestIsLogged at both fronts, TestLogIsBounded, and the attempts in TestTimersOfAnEarlierDeadlineEndNothing.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -19,8 +19,10 @@
 	server  policy.ServerID
 	sent    time.Duration
 	phase   atomic.Int32
-	release func()             // set by Hold: ends the hold
-	ended   bool               // its outcome was reported; later events are ignored
+	release func()        // set by Hold: ends the hold
+	ended   bool          // its outcome was reported; later events are ignored
+	status  policy.Status // once ended
+	endedAt time.Duration
 	cancel  context.CancelFunc // cancels its goroutine; set by the Loop
 }
 
@@ -88,3 +90,17 @@
 		}
 	}
 }
+
+// statusNames are the results of attempts as operators see them.
+var statusNames = map[policy.Status]string{
+	policy.OK: "served", policy.Error: "answered with an error", policy.Full: "turned away", policy.Timeout: "timed out",
+	policy.ConnectFailed: "not connected", policy.Reset: "broken off", policy.Cancelled: "cancelled", policy.NotSent: "not sent",
+}
+
+// summary says what has become of the attempt by now.
+func (a *Attempt) summary(now time.Duration) AttemptSummary {
+	if !a.ended {
+		return AttemptSummary{Server: a.To, State: "in progress", Took: now - a.sent}
+	}
+	return AttemptSummary{Server: a.To, State: statusNames[a.status], Took: max(0, a.endedAt-a.sent)}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,8 +45,16 @@
 // Answer is the single final answer to a request.
 type Answer struct {
 	Outcome    Outcome
-	RetryAfter time.Duration // Refused
-	Body       any           // Served: AttemptResult.Body
+	RetryAfter time.Duration    // Refused
+	Body       any              // Served: AttemptResult.Body
+	Attempts   []AttemptSummary // Failed, DeadlineExceeded
+}
+
+// AttemptSummary says what became of an attempt of a request that failed.
+type AttemptSummary struct {
+	Server Server
+	State  string        // a word or two for operators
+	Took   time.Duration // from its beginning, or its request's last byte, to its end or to the final answer
 }
 
 // Server is one incarnation of a server process. Fronts key their connections by it rather
--- a/internal/core/deadline_test.go
+++ b/internal/core/deadline_test.go
@@ -35,13 +35,14 @@
 				t.Fatalf("%d actions by the first deadline: %+v", len(actions), actions)
 			}
 			runTimers(m, loopRuns)
-			released, outcomes := false, []Outcome{}
+			released, outcomes, summaries := false, []Outcome{}, []AttemptSummary(nil)
 			for _, action := range m.Actions() {
 				switch action.Kind {
 				case ActionRelease:
 					released = true
 				case ActionRespond:
 					outcomes = append(outcomes, action.Answer.Outcome)
+					summaries = action.Answer.Attempts
 				}
 			}
 			switch {
@@ -49,6 +50,8 @@
 				t.Errorf("the answer that was held back is not given: released %v, answered %v", released, outcomes)
 			case !holds && (len(outcomes) != 1 || outcomes[0] != Failed):
 				t.Errorf("answered %v, want the module's answer, %v", outcomes, Failed)
+			case !holds && (len(summaries) != 1 || summaries[0] != AttemptSummary{attempt.To, "timed out", loopRuns - bodySent}):
+				t.Errorf("the answer says of the attempts: %+v", summaries)
 			}
 		})
 	}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -549,7 +549,7 @@
 // reportOutcome reports the end of an attempt to the module, once per attempt.
 func (m *Machine) reportOutcome(a *Attempt, status policy.Status, at time.Duration) {
 	r := a.Pending
-	a.ended = true
+	a.ended, a.status, a.endedAt = true, status, at
 	m.emit(Action{Kind: ActionEnd, Attempt: a})
 	r.inFlight--
 	m.balancer.Outcome(m.now, policy.Outcome{
@@ -575,6 +575,11 @@
 		return
 	}
 	m.counts[r.class][a.Outcome]++
+	if a.Outcome == Failed || a.Outcome == DeadlineExceeded {
+		for _, attempt := range r.attempts {
+			a.Attempts = append(a.Attempts, attempt.summary(m.now))
+		}
+	}
 	m.emit(Action{Kind: ActionRespond, Pending: r, Answer: a})
 }
 
--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -16,6 +16,7 @@
 	"otterstep/internal/core"
 	"otterstep/internal/framing"
 	"otterstep/internal/lifecycle"
+	"otterstep/internal/requestlog"
 	"otterstep/internal/streaming"
 	"otterstep/internal/web/classify"
 	"otterstep/internal/wire"
@@ -36,6 +37,7 @@
 	draining     atomic.Bool // the node drains: answers close their connections
 	handingOver  atomic.Bool // the same while another process takes over
 	memory       *clientMemory
+	failures     *requestlog.Log // nil: failed requests are not logged
 }
 
 func newFront(l *core.Loop, up *upstream, site wire.Site, g *clients, memory *clientMemory, state *lifecycle.Lifecycle, tellUp bool) *front {
@@ -149,6 +151,8 @@
 			f.rejectRequest(w, errIncompleteBody)
 			return
 		}
+		now := f.loop.Clock().Now()
+		f.failures.Failed(f.loop.Clock().Wall(now), q.Name, f.site.Classes[q.Class], now-arrived, a)
 		f.announceClose(w)
 		writeAnswer(w, r, a)
 		if q.Uploading {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"otterstep/internal/lifecycle"
 	"otterstep/internal/operator"
 	"otterstep/internal/operatorapi"
+	"otterstep/internal/requestlog"
 	"otterstep/internal/sip"
 	"otterstep/internal/web"
 )
@@ -107,6 +108,7 @@
 	var state lifecycle.Lifecycle
 	discoveryClient.onList = l.UpdateServers // returns once the list is in place, so that /up does not report ready before
 	f := newFront(l, up, cfg.Site, clients, memory, &state, op.Drain.TellUp)
+	f.failures = requestlog.New(log)
 
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/internal/web/front.go
+++ b/internal/web/front.go
@@ -26,6 +26,7 @@
 	"otterstep/internal/core"
 	"otterstep/internal/framing"
 	"otterstep/internal/h1"
+	"otterstep/internal/requestlog"
 	"otterstep/internal/serverlist"
 	"otterstep/internal/streaming"
 	"otterstep/internal/web/classify"
@@ -37,6 +38,7 @@
 type Front struct {
 	opt           Config
 	log           *slog.Logger
+	failures      *requestlog.Log
 	loop          *core.Loop
 	pool          *conns.Pool
 	h2            *http2Pool // nil unless servers speak HTTP/2
@@ -69,6 +71,7 @@
 // CheckAll.
 func New(c Config, memory Memory, seed uint64, clock core.Clock, log *slog.Logger) (_ *Front, err error) {
 	f := &Front{opt: c, memory: memory, resting: restingConns{since: map[net.Conn]time.Time{}}, log: log.With("web", c.Name), ruleHits: make([]atomic.Int64, len(c.Rule)+1)}
+	f.failures = requestlog.New(f.log)
 	if f.classify, err = c.newClassifier(); err != nil {
 		return nil, err
 	}
@@ -237,11 +240,12 @@
 		return
 	}
 	answers := make(chan core.Answer, 1)
+	submitted := f.loop.Clock().Now()
 	ticket, ok := f.loop.Submit(core.Request{
 		Request: policy.Request{Class: q.Class*effectCount + int(q.Effect), Tenant: q.Tenant, Key: q.Key, Uploading: q.exchange.rest != nil},
 		Name:    strconv.FormatUint(f.lastID.Add(1), 36),
 		// A request's time counts from its last byte. While that is still to come, this is the time to find a server.
-		Deadline: f.loop.Clock().Now() + q.exchange.deadline, Message: q.exchange, Answers: answers,
+		Deadline: submitted + q.exchange.deadline, Message: q.exchange, Answers: answers,
 	})
 	if !ok {
 		f.writeProblem(w, shuttingDown, id)
@@ -261,7 +265,7 @@
 			if q.exchange.rest != nil { // the unread rest of the body follows on the connection
 				w.Header().Set("Connection", "close")
 			}
-			f.writeFinal(w, q.exchange, a, id)
+			f.writeFinal(w, q, a, id, submitted)
 			q.exchange.discardRest(w, r)
 			return
 		case <-q.exchange.ctx.Done():
@@ -274,9 +278,9 @@
 	}
 }
 
-// writeFinal writes the answer to a request for which no server's answer was streamed.
-func (f *Front) writeFinal(w http.ResponseWriter, x *exchange, a core.Answer, id string) {
-	fallback, bodyErr := x.getFallback(), x.bodyError()
+// writeFinal writes the answer to a request, submitted then, for which no server's answer was streamed.
+func (f *Front) writeFinal(w http.ResponseWriter, q request, a core.Answer, id string, submitted time.Duration) {
+	fallback, bodyErr := q.exchange.getFallback(), q.exchange.bodyError()
 	switch {
 	case bodyErr != nil:
 		f.rejected.Add(1)
@@ -285,6 +289,8 @@
 		f.limitWrite(w)
 		fallback.write(w)
 	default:
+		now := f.loop.Clock().Now()
+		f.failures.Failed(f.loop.Clock().Wall(now), id, f.opt.Class[q.Class].Name, now-submitted, a)
 		f.writeProblem(w, f.problemFor(a), id)
 	}
 }
