--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -284,35 +284,6 @@
 	})
 }
 
-// View is a snapshot of a pool's state for operators.
-type View struct {
-	policy.View
-	Listed  map[policy.ServerID]Server // the servers in View.Servers
-	Counts  [][NumOutcomes]int64       // ended requests, by class and Outcome
-	Late    []int64                    // requests served after their class's aim, by class
-	Stalled []int64                    // attempts whose answer has begun and did not go on, by class
-	// AtDeadline counts requests that ended with an answer that was held back until their deadline, by class.
-	AtDeadline []int64
-	Requests   int // unanswered or with attempts in flight
-	Timers     int
-	Members    int // listed servers in any state
-}
-
-// Inspect copies the state. Its cost is proportional to the number of listed servers.
-func (m *Machine) Inspect(now time.Duration) View {
-	m.now = max(m.now, now)
-	v := View{
-		View: m.balancer.Inspect(m.now), Counts: slices.Clone(m.counts), Late: slices.Clone(m.late),
-		Stalled: slices.Clone(m.stalled), AtDeadline: slices.Clone(m.atDeadline),
-		Requests: len(m.requests), Timers: len(m.timers), Members: len(m.servers),
-	}
-	v.Listed = make(map[policy.ServerID]Server, len(v.Servers))
-	for _, s := range v.Servers {
-		v.Listed[s.Server] = m.servers[s.Server]
-	}
-	return v
-}
-
 // InFlight returns the attempts in flight.
 func (m *Machine) InFlight() (out []*Attempt) {
 	for _, r := range m.requests {
@@ -424,84 +395,6 @@
 	return r
 }
 
-// startAim sets the time from which an answer to a request, which has come whole by now, is late.
-func (m *Machine) startAim(r *Pending) {
-	if aim := m.aims[r.class]; aim > 0 {
-		r.lateFrom = m.now + aim
-	}
-}
-
-// setDeadline sets a request's deadlines and returns the time that remains for the decision module. A request that
-// has come whole only after the shutdown time, as its body took so long, has its own time.
-func (m *Machine) setDeadline(r *Pending, deadline time.Duration) time.Duration {
-	if m.now < m.shutdownAt {
-		deadline = min(deadline, m.shutdownAt)
-	}
-	left := max(0, deadline-m.now)
-	r.deadline = m.now + left
-	r.attemptDeadline = r.deadline - min(clientMargin, left/2)
-	r.deadlineChanges++
-	return r.attemptDeadline - m.now
-}
-
-// scheduleDeadline schedules the timers that end a request by its client's deadline: its attempts first, then the request.
-// Once the deadline has changed again they do nothing.
-func (m *Machine) scheduleDeadline(r *Pending) {
-	left := r.deadline - m.now
-	backstopAt := r.deadline - min(backstopMargin, left/4)
-	change := r.deadlineChanges
-	m.schedule(r.attemptDeadline, func() {
-		if r.deadlineChanges != change {
-			return
-		}
-		m.expire(r)
-		m.schedule(backstopAt, func() {
-			if r.deadlineChanges == change {
-				m.backstop(r)
-			}
-		})
-	})
-}
-
-// expire ends a request's wait shortly before the client's deadline. If an attempt holds an answer back, that becomes the
-// final one: its server still gives it. Otherwise the attempts in flight are abandoned; the module receives these as
-// time-outs of an open request and chooses the final answer.
-func (m *Machine) expire(r *Pending) {
-	if r.uploading { // RequestSent will change the deadline
-		return
-	}
-	m.claimHeldAnswer(r)
-	for _, a := range r.attempts {
-		if !a.ended && !r.answered {
-			m.abandon(a, policy.Timeout)
-		}
-	}
-}
-
-// claimHeldAnswer claims the final answer for the first attempt that holds one back, unless the request has an answer.
-func (m *Machine) claimHeldAnswer(r *Pending) {
-	for _, a := range r.attempts {
-		if !a.ended && !r.answered && a.claimHeld() {
-			m.atDeadline[r.class]++
-			m.answerClaimed(a)
-			m.emit(Action{Kind: ActionRelease, Attempt: a})
-		}
-	}
-}
-
-// backstop answers a request that the module has not answered shortly before the client's
-// deadline, so that every request is answered in time.
-func (m *Machine) backstop(r *Pending) {
-	if r.uploading && r.inFlight > 0 {
-		return
-	}
-	if !r.answered {
-		m.answer(r, Answer{Outcome: DeadlineExceeded})
-		m.balancer.ClientGone(m.now, r.id)
-		m.release(r)
-	}
-}
-
 // clientGone ends a request whose client has disconnected.
 func (m *Machine) clientGone(r *Pending) {
 	if !r.answered {
