No request waits for the log of failed requests

Cause: writes its line before the answer, on the request's goroutine. Where nobody takes the process's standard error, as with a pipe that is full, the answers would have waited for it. Found by reading; before, only rare lines of other goroutines were written.

Change: lines are written on goroutines of their own, ten at most; what comes while these wait is left out and counted.

Measured: TestBlockedLogHoldsNoRequestUp (100 failures at a log that takes nothing), 20 of 20 with the race detector.

--- a/internal/node/failed_request_test.go
+++ b/internal/node/failed_request_test.go
@@ -21,7 +21,5 @@
 		t.Fatal(code, text)
 	}
 	line := regexp.MustCompile(`msg="request failed" id=` + r.Header.Get("X-Correlation-Id") + ` class=book outcome=failed took=\S+ attempts="` + regexp.QuoteMeta(hangsUp.addr) + ` broken off \S+" omitted=0`)
-	if !line.MatchString(log.String()) {
-		t.Errorf("no line like %s:\n%s", line, log.String())
-	}
+	waitFor(t, "line like "+line.String(), func() bool { return line.MatchString(log.String()) })
 }
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -10,20 +10,25 @@
 	"otterstep/internal/core"
 )
 
-// Bounds of the log where many requests fail at once, and of what a client puts into a line.
+// Bounds of the log where many requests fail at once or nobody takes its lines, and of what a client puts into a line.
 const (
 	linesPerSecond = 10
+	maxWriting     = 10
 	maxIDLength    = 128 // bytes
 )
 
-// Log writes a line for each failed request, at most linesPerSecond. It is safe for concurrent use.
+// Log writes a line for each failed request, at most linesPerSecond. Requests do not wait for it. It is safe for
+// concurrent use.
 type Log struct {
 	log *slog.Logger
 
 	mu      sync.Mutex
 	second  time.Time // in which lines were written
 	lines   int       // written in that second
+	writing int       // lines that are being written
 	omitted int       // since the last line
+
+	writers sync.WaitGroup
 }
 
 // New returns a Log that writes to log.
@@ -39,8 +44,13 @@
 	if !ok {
 		return
 	}
-	l.log.Warn("request failed", "id", id[:min(len(id), maxIDLength)], "class", class, "outcome", a.Outcome.String(),
-		"took", took.Round(time.Millisecond), "attempts", describe(a.Attempts), "omitted", omitted)
+	l.writers.Go(func() {
+		l.log.Warn("request failed", "id", id[:min(len(id), maxIDLength)], "class", class, "outcome", a.Outcome.String(),
+			"took", took.Round(time.Millisecond), "attempts", describe(a.Attempts), "omitted", omitted)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.writing--
+	})
 }
 
 // admit reports whether a line may be written at now, and how many were omitted before it.
@@ -50,11 +60,12 @@
 	if now.Sub(l.second) >= time.Second {
 		l.second, l.lines = now, 0
 	}
-	if l.lines >= linesPerSecond {
+	if l.lines >= linesPerSecond || l.writing >= maxWriting {
 		l.omitted++
 		return 0, false
 	}
 	l.lines++
+	l.writing++
 	omitted, l.omitted = l.omitted, 0
 	return omitted, true
 }
--- a/internal/requestlog/requestlog_test.go
+++ b/internal/requestlog/requestlog_test.go
@@ -19,7 +19,9 @@
 		{Server: core.Server{Addr: "10.0.0.2:80"}, State: "timed out", Took: 640 * time.Millisecond},
 	}
 	l.Failed(now, "a1", "book", 738*time.Millisecond, core.Answer{Outcome: core.Failed, Attempts: attempts})
+	l.writers.Wait()
 	l.Failed(now, "a2", "book", 0, core.Answer{Outcome: core.DeadlineExceeded})
+	l.writers.Wait()
 	for _, other := range []core.Outcome{core.Served, core.Refused, core.Duplicate} {
 		l.Failed(now, "a3", "book", 0, core.Answer{Outcome: other})
 	}
@@ -46,6 +48,7 @@
 	const failed, seconds = 4000, 4
 	for i := range failed {
 		l.Failed(began.Add(time.Duration(i)*time.Millisecond), strings.Repeat("i", 4000), "book", 0, core.Answer{Outcome: core.Failed})
+		l.writers.Wait()
 	}
 	if n := strings.Count(out.String(), "\n"); n != seconds*linesPerSecond {
 		t.Errorf("%d lines in %d seconds, want %d", n, seconds, seconds*linesPerSecond)
@@ -57,3 +60,35 @@
 		t.Errorf("%d lines name 990 omitted ones, want %d", n, seconds-1)
 	}
 }
+
+// gatedWriter takes nothing until its gate opens.
+type gatedWriter struct {
+	gate    chan struct{}
+	written bytes.Buffer
+}
+
+func (w *gatedWriter) Write(b []byte) (int, error) {
+	<-w.gate
+	return w.written.Write(b)
+}
+
+// Guards against requests that wait for a log that nobody reads.
+func TestBlockedLogHoldsNoRequestUp(t *testing.T) {
+	out := &gatedWriter{gate: make(chan struct{})}
+	l := New(slog.New(slog.NewTextHandler(out, nil)))
+	now := time.Unix(100, 0)
+	const failed = 100
+	for i := range failed {
+		l.Failed(now.Add(time.Duration(i)*time.Second), "a", "book", 0, core.Answer{Outcome: core.Failed})
+	}
+	close(out.gate)
+	l.writers.Wait()
+	l.Failed(now.Add(failed*time.Second), "a", "book", 0, core.Answer{Outcome: core.Failed})
+	l.writers.Wait()
+	if n := strings.Count(out.written.String(), "\n"); n != maxWriting+1 {
+		t.Errorf("%d lines, want %d", n, maxWriting+1)
+	}
+	if last := "omitted=90\n"; !strings.HasSuffix(out.written.String(), last) {
+		t.Errorf("the last line does not end in %q:\n%s", last, out.written.String())
+	}
+}
--- a/internal/web/failed_request_test.go
+++ b/internal/web/failed_request_test.go
@@ -17,7 +17,5 @@
 		t.Fatalf("%+v", a)
 	}
 	line := regexp.MustCompile(`msg="request failed" web=t id=order-17 class=default outcome=failed took=\S+ attempts="` + regexp.QuoteMeta(r.servers[0].Addr()) + ` broken off \S+" omitted=0`)
-	if r.stop(); !line.MatchString(r.log.String()) {
-		t.Errorf("no line like %s:\n%s", line, r.log.String())
-	}
+	r.waitFor("line like "+line.String(), func() bool { return line.MatchString(r.log.String()) })
 }
