[[web]]: the end of an attempt does not end the reading behind its early answer

Cause: behind an early answer the handler reads on what the client still sends (framing.Conn.Discard, with a read deadline of 3 s). The attempt ends at the same time and stops the body: where it comes second, its deadline in the past takes the place of Discard's, the reading ends at once, and the close over unread bytes resets the connection.

Change: the body is detached from its connection before the reading begins, so stopping it sets no deadline any more.

--- a/internal/web/upload.go
+++ b/internal/web/upload.go
@@ -62,6 +62,7 @@
 	}
 	x.stopBody()
 	x.restClaim.Close()
+	x.body.Detach() // an attempt that ends later stops the body again, which would end the reading
 	conn.Discard(x.front.requestCtx, discardTime)
 }
 
